--- a/src/api.rs
+++ b/src/api.rs
@@ -277,27 +277,27 @@
 }
 
 #[handler]
-async fn submit(Data(api): Shared<'_>, body: Body) -> Response {
+async fn post_submission(Data(api): Shared<'_>, body: Body) -> Response {
     answer(api.submit(body).await)
 }
 
 #[handler]
-async fn poll(Data(api): Shared<'_>, Path(uid): Path<String>) -> Response {
+async fn get_submission(Data(api): Shared<'_>, Path(uid): Path<String>) -> Response {
     answer(api.poll(&uid).await)
 }
 
 #[handler]
-async fn withdraw(Data(api): Shared<'_>, Path(uid): Path<String>) -> Response {
+async fn post_withdrawal(Data(api): Shared<'_>, Path(uid): Path<String>) -> Response {
     answer(api.withdraw(&uid).await)
 }
 
 #[handler]
-async fn checkin(Data(api): Shared<'_>, body: Body) -> Response {
+async fn post_checkin(Data(api): Shared<'_>, body: Body) -> Response {
     answer(api.checkin(body).await)
 }
 
 #[handler]
-fn health(Data(api): Shared<'_>) -> Response {
+fn get_health(Data(api): Shared<'_>) -> Response {
     if api.healthy.load(Ordering::Relaxed) {
         json(StatusCode::OK, &serde_json::json!({ "status": "ok" }))
     } else {
@@ -307,11 +307,11 @@
 
 pub fn routes(api: Arc<Api>) -> impl IntoEndpoint {
     Route::new()
-        .at("/submissions", post(submit))
-        .at("/submissions/:uid", get(poll))
-        .at("/submissions/:uid/withdraw", post(withdraw))
-        .at("/checkin", post(checkin))
-        .at("/healthz", get(health))
+        .at("/submissions", post(post_submission))
+        .at("/submissions/:uid", get(get_submission))
+        .at("/submissions/:uid/withdraw", post(post_withdrawal))
+        .at("/checkin", post(post_checkin))
+        .at("/healthz", get(get_health))
         .data(api)
         .catch_all_error(|e: poem::Error| async move {
             error(e.status(), e.status().canonical_reason().unwrap_or("error"))
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -34,7 +34,7 @@
 }
 
 /// A machine as the state service has it.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct StoredMachine {
     pub name: String,
     pub machine_type: String,
--- a/src/server.rs
+++ b/src/server.rs
@@ -12,7 +12,6 @@
 use crate::store::{self, Committed, Store};
 use crate::wire::{Checkin, CheckinAnswer, Epoch, FleetRecord, Orders, Over, Record, Rental, Submission};
 use crate::worker;
-use rand::Rng;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -82,7 +81,7 @@
     let healthy = Arc::new(AtomicBool::new(false));
     let names = settings.node_names();
     let me = names.iter().position(|n| *n == settings.node_name).unwrap_or(0);
-    let sender = Sender { node: me, incarnation: rand::rng().random() };
+    let sender = Sender { node: me, incarnation: rand::random() };
     info!(node = settings.node_name, zone = settings.zone, incarnation = sender.incarnation, "started");
 
     let (frames_to, frames) = mpsc::channel(limits::PEER_QUEUE);
@@ -189,7 +188,7 @@
     }
     loop {
         let Some(catalog) = cloud.catalog().await else {
-            let pause = rand::rng().random_range(1_500..3_000);
+            let pause = rand::random_range(1_500..3_000);
             tokio::time::sleep(Duration::from_millis(pause)).await;
             continue;
         };
@@ -566,7 +565,7 @@
 async fn settle(committed: Committed) -> Outcome {
     if !matches!(committed, Committed::Done { .. }) {
         let pause = limits::STATE_PAUSE_MS;
-        let pause = pause + rand::rng().random_range(0..=pause);
+        let pause = pause + rand::random_range(0..=pause);
         tokio::time::sleep(Duration::from_millis(pause)).await;
     }
     match committed {
@@ -674,7 +673,7 @@
 
 async fn pause() {
     let pause = limits::STATE_PAUSE_MS;
-    tokio::time::sleep(Duration::from_millis(rand::rng().random_range(pause..=2 * pause))).await;
+    tokio::time::sleep(Duration::from_millis(rand::random_range(pause..=2 * pause))).await;
 }
 
 /// Loads the jobs and follows what users commit through any node.
