--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -97,6 +97,12 @@
             return self.wait(uid, "team usage not known yet");
         }
         let held = job.places.len() as u32;
+        // A gang starts only whole: one that has lost a task is stopped and starts again, since the
+        // others would only wait for a mate that no longer comes.
+        if job.spec.kind == Kind::Gang && held > 0 {
+            self.stop_all(uid);
+            return self.wait(uid, "its gang is incomplete");
+        }
         let running = held - self.stopping(job);
         let fresh = held == 0;
         // Width is kept without regard to the gap; growth beyond it waits for the gap to pass.
@@ -122,8 +128,9 @@
                     job.rescaled = now;
                 }
             }
+            let attempt = self.next_attempt();
             for machine in found {
-                self.assign(uid, &machine, room);
+                self.assign(uid, &machine, attempt, room);
             }
             let short = self.jobs.get(&uid).is_some_and(|j| !j.waiting.is_empty());
             if short {
@@ -271,7 +278,7 @@
     /// PROTOCOL, Preemption: higher over lower priority; or a team inside its guarantee over what
     /// another team runs beyond its own.
     fn may_preempt(&self, job: &Job, victim: &Job) -> bool {
-        if victim.spec.uid == job.spec.uid || victim.spec.kind == Kind::Service {
+        if victim.spec.uid == job.spec.uid || victim.spec.kind != Kind::Array {
             return false;
         }
         let higher = job.spec.priority > victim.spec.priority;
@@ -296,7 +303,7 @@
             .count() as u32
     }
 
-    fn assign(&mut self, uid: Uid, machine: &str, room: &mut Room) {
+    fn assign(&mut self, uid: Uid, machine: &str, attempt: u64, room: &mut Room) {
         let Some(job) = self.jobs.get_mut(&uid) else { return };
         let Some(task) = job.waiting.pop_first() else { return };
         job.places.entry(task).or_default().push(machine.into());
@@ -304,7 +311,7 @@
         if let Some(free) = room.free.get_mut(machine) {
             *free = free.minus(&needs);
         }
-        self.place_on(machine, TaskId { uid, task }, needs);
+        self.place_on(machine, TaskId { uid, task }, needs, attempt);
     }
 
     /// Room held back in each zone for critical services, against everyone else's tasks.
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -34,8 +34,6 @@
 struct Planned {
     offer: Offer,
     room: Resources,
-    /// Present in the cloud already (booting or asked for).
-    coming: bool,
     used: bool,
 }
 
@@ -103,7 +101,7 @@
             .chain(asked)
             .filter_map(|offer| {
                 let room = self.types.get(&offer.0)?.has;
-                Some(Planned { offer, room, coming: true, used: false })
+                Some(Planned { offer, room, used: false })
             })
             .collect()
     }
@@ -168,7 +166,7 @@
         let Some(t) = self.types.get(&offer.0) else { return false };
         zones.add(&offer.1);
         *wanted.entry(offer.clone()).or_default() += 1;
-        planned.push(Planned { offer, room: t.has.minus(needs), coming: false, used: true });
+        planned.push(Planned { offer, room: t.has.minus(needs), used: true });
         true
     }
 
@@ -209,7 +207,7 @@
                 let Some(t) = self.types.get(&offer.0) else { break };
                 open -= shape.count_in(&t.has).max(1);
                 *wanted.entry(offer.clone()).or_default() += 1;
-                planned.push(Planned { offer, room: Resources::default(), coming: false, used: true });
+                planned.push(Planned { offer, room: Resources::default(), used: true });
             }
         }
         kept
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -261,12 +261,17 @@
         let Some(job) = self.jobs.get_mut(&uid) else { return };
         job.over = true;
         job.waiting.clear();
+        self.stop_all(uid);
+        self.drop_if_over(uid);
+    }
+
+    fn stop_all(&mut self, uid: Uid) {
+        let Some(job) = self.jobs.get(&uid) else { return };
         let places: Vec<_> =
             job.places.iter().flat_map(|(t, names)| names.iter().map(|n| (*t, n.clone()))).collect();
         for (task, machine) in places {
             self.stop(&machine, TaskId { uid, task }, 0.0);
         }
-        self.drop_if_over(uid);
     }
 
     fn drop_if_over(&mut self, uid: Uid) {
@@ -275,11 +280,15 @@
         }
     }
 
-    /// Reserves the place; the start goes out with the answer to the machine's next report.
-    fn place_on(&mut self, name: &str, id: TaskId, needs: Resources) {
-        // Attempts carry the token, so that no two leaders ever use one twice.
+    /// One number for all tasks of a job that start together: a gang's tasks find one another by it.
+    /// It carries the token, so that no two leaders ever use one twice.
+    fn next_attempt(&mut self) -> u64 {
         self.attempts += 1;
-        let attempt = (self.config.token << 32) | self.attempts;
+        (self.config.token << 32) | self.attempts
+    }
+
+    /// Reserves the place; the start goes out with the answer to the machine's next report.
+    fn place_on(&mut self, name: &str, id: TaskId, needs: Resources, attempt: u64) {
         let now = self.now;
         if let Some(machine) = self.machines.get_mut(name) {
             debug!(task = %id, machine = name, attempt, "place");
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -38,6 +38,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
     Array,
+    Gang,
     Service,
 }
 
@@ -158,6 +159,7 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TaskStatus {
+    /// Not running yet: waiting for its image, or for the rest of its gang.
     Fetching,
     Running,
     Saving,
@@ -316,6 +318,7 @@
     pub fn minimum(&self) -> u32 {
         match self.spec.kind {
             Kind::Array => 1.min(self.unfinished()),
+            Kind::Gang => self.unfinished(),
             Kind::Service => self.spec.tasks,
         }
     }
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -185,7 +185,7 @@
         match cause {
             Cause::Done => {
                 if let Some(job) = self.jobs.get_mut(&id.uid).filter(|j| !j.over && id.task < j.spec.tasks) {
-                    if job.spec.kind == Kind::Array && job.done.insert(id.task) {
+                    if job.spec.kind != Kind::Service && job.done.insert(id.task) {
                         job.waiting.remove(&id.task);
                         job.uncommitted.insert(id.task);
                         job.errors = 0;
@@ -374,6 +374,6 @@
 
 impl Job {
     fn ready_to_finish(&self) -> bool {
-        self.spec.kind == Kind::Array && self.unfinished() == 0 && !self.committing && !self.over
+        self.spec.kind != Kind::Service && self.unfinished() == 0 && !self.committing && !self.over
     }
 }
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -403,6 +403,14 @@
                 }
             }
             Message::PromiseRequest { sent } => {
+                let own = self.promise_out.is_some_and(|(to, _)| to == self.me);
+                if own && from < self.me && matches!(self.role, Role::Follower) {
+                    // Two candidates that promise only themselves would block each other for L, again
+                    // and again: the one with the lower number goes first.
+                    self.campaigning = false;
+                    self.promise_out = None;
+                    self.campaign_due = now + limits::GRANT / 2;
+                }
                 if self.may_promise(now, from) {
                     self.promise_out = Some((from, now + lengthened(limits::GRANT)));
                     actions.push(Action::Send(from, Message::Promise { echo: sent }));
--- a/src/leadership_tests.rs
+++ b/src/leadership_tests.rs
@@ -1,1 +1,382 @@
+//! Leadership in a small simulated network: drifting clocks, held, repeated and reordered messages,
+//! crashes with amnesia, state outages and refusals, in virtual time with fixed seeds.
 
+use super::*;
+use std::collections::BTreeMap;
+
+const MS: u64 = 1_000;
+
+/// The state service, as far as leadership uses it.
+#[derive(Default)]
+struct FakeStore {
+    revision: u64,
+    epoch: Option<(Epoch, u64)>,
+    /// Permit that the lock hangs on, and when it ends.
+    lock: Option<u64>,
+    permits: BTreeMap<u64, u64>,
+    next_permit: u64,
+}
+
+impl FakeStore {
+    fn expire(&mut self, now: u64) {
+        self.permits.retain(|_, until| *until > now);
+        if self.lock.is_some_and(|p| !self.permits.contains_key(&p)) {
+            self.lock = None;
+        }
+    }
+}
+
+enum Wire {
+    Message { from: usize, to: usize, status: Status, message: Message },
+    ToStore { node: usize, life: u64, action: Action, sent: u64 },
+    FromStore { node: usize, life: u64, answer: StoreAnswer },
+}
+
+struct Node {
+    leadership: Leadership,
+    life: u64,
+    /// Local clock: base + true time * rate.
+    base: u64,
+    rate: f64,
+    down_until: Option<u64>,
+    state_answered: u64,
+}
+
+struct World {
+    now: u64,
+    rng: SmallRng,
+    store: FakeStore,
+    nodes: Vec<Node>,
+    wires: BTreeMap<(u64, u64), Wire>,
+    serial: u64,
+    state_down: bool,
+    refused: Option<usize>,
+    /// Node cut off from peers (and users and workers), and whether from the state service too.
+    cut: Option<(usize, bool)>,
+    cut_until: u64,
+    tokens: Vec<(u64, usize, u64)>,
+    led: BTreeMap<u64, (usize, u64)>,
+    led_time: u64,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut world = World {
+            now: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            store: FakeStore { revision: 1, ..FakeStore::default() },
+            nodes: Vec::new(),
+            wires: BTreeMap::new(),
+            serial: 0,
+            state_down: false,
+            refused: None,
+            cut: None,
+            cut_until: 0,
+            tokens: Vec::new(),
+            led: BTreeMap::new(),
+            led_time: 0,
+        };
+        for i in 0..3 {
+            let node = world.fresh(i, 1);
+            world.nodes.push(node);
+        }
+        world
+    }
+
+    fn fresh(&mut self, me: usize, life: u64) -> Node {
+        let names = ["a", "b", "c"].map(String::from).to_vec();
+        let base = self.rng.random_range(1 << 40..1 << 50);
+        let rate = 1.0 + self.rng.random_range(-0.0005..0.0005);
+        let now = base + (self.now as f64 * rate) as u64;
+        let incarnation = self.rng.random();
+        let leadership = Leadership::new(names, me, incarnation, now, 10 * limits::SECOND, self.rng.random());
+        Node { leadership, life, base, rate, down_until: None, state_answered: now }
+    }
+
+    fn local(&self, node: usize) -> u64 {
+        self.nodes[node].base + (self.now as f64 * self.nodes[node].rate) as u64
+    }
+
+    fn cut_between(&self, a: usize, b: usize) -> bool {
+        self.cut.is_some_and(|(n, _)| n == a || n == b)
+    }
+
+    fn send(&mut self, delay: u64, wire: Wire) {
+        self.serial += 1;
+        self.wires.insert((self.now + delay, self.serial), wire);
+    }
+
+    fn delay(&mut self) -> u64 {
+        if self.rng.random_bool(0.02) {
+            return self.rng.random_range(100 * MS..900 * MS);
+        }
+        self.rng.random_range(MS..12 * MS)
+    }
+
+    fn act(&mut self, node: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(to, message) => {
+                    let status = self.status(node);
+                    // What a cut holds back arrives after it, and some messages arrive twice.
+                    let held = if self.cut_between(node, to) { self.cut_until.saturating_sub(self.now) } else { 0 };
+                    let copies = if self.rng.random_bool(0.05) { 2 } else { 1 };
+                    for _ in 0..copies {
+                        let delay = held + self.delay();
+                        self.send(delay, Wire::Message { from: node, to, status, message });
+                    }
+                }
+                Action::Elected { token, .. } => self.tokens.push((token, node, self.now)),
+                Action::Deposed => {}
+                action => {
+                    let (life, sent) = (self.nodes[node].life, self.local(node));
+                    let delay = self.delay();
+                    let unreachable = self.state_down
+                        || self.refused == Some(node)
+                        || self.cut.is_some_and(|(n, state)| n == node && state);
+                    if unreachable && !matches!(action, Action::TakeOver { .. }) {
+                        self.send(delay, Wire::FromStore { node, life, answer: StoreAnswer::Failed });
+                    } else {
+                        // A held transaction is applied late; nobody hears of it in time.
+                        let held =
+                            if unreachable { self.rng.random_range(0..20 * limits::SECOND) } else { 0 };
+                        self.send(delay + held, Wire::ToStore { node, life, action, sent });
+                    }
+                }
+            }
+        }
+    }
+
+    fn status(&self, node: usize) -> Status {
+        let workers = if self.cut.is_some_and(|(n, _)| n == node) { 0 } else { 3 };
+        Status { state_age: self.local(node).saturating_sub(self.nodes[node].state_answered), workers }
+    }
+
+    fn store(&mut self, action: Action, node: usize, sent: u64) -> StoreAnswer {
+        self.store.expire(self.now);
+        match action {
+            Action::Probe => {
+                StoreAnswer::Probed { epoch: self.store.epoch.clone(), locked: self.store.lock.is_some() }
+            }
+            Action::TakeOver { token, entry, over_lock } => {
+                let at = self.store.epoch.as_ref().map_or(0, |(_, e)| *e);
+                if at != entry || !over_lock && self.store.lock.is_some() {
+                    return StoreAnswer::Lost { permit: None };
+                }
+                self.store.revision += 1;
+                self.store.next_permit += 1;
+                let permit = self.store.next_permit;
+                self.store.permits.insert(permit, self.now + limits::LOCK_LEASE_MS * 1000);
+                self.store.lock = Some(permit);
+                let names = ["a", "b", "c"];
+                let incarnation = self.nodes[node].leadership.incarnation;
+                let epoch = Epoch { token, node: names[node].into(), incarnation };
+                self.store.epoch = Some((epoch, self.store.revision));
+                StoreAnswer::Won { permit, entry: self.store.revision, lease_sent: sent }
+            }
+            Action::Renew { permit } => {
+                let alive = self.store.permits.contains_key(&permit);
+                if alive {
+                    self.store.permits.insert(permit, self.now + limits::LOCK_LEASE_MS * 1000);
+                }
+                StoreAnswer::Renewed { permit, sent, alive }
+            }
+            Action::Release { permit } => {
+                self.store.permits.remove(&permit);
+                StoreAnswer::Failed
+            }
+            _ => StoreAnswer::Failed,
+        }
+    }
+
+    fn deliver(&mut self, wire: Wire) {
+        match wire {
+            Wire::Message { from, to, status, message } => {
+                if self.nodes[to].down_until.is_some() {
+                    return;
+                }
+                let now = self.local(to);
+                let actions = self.nodes[to].leadership.message(now, from, status, message);
+                self.act(to, actions);
+            }
+            Wire::ToStore { node, life, action, sent } => {
+                // An answer to a process that has died goes nowhere, but the change stands.
+                let answer = self.store(action, node, sent);
+                let delay = self.delay();
+                self.send(delay, Wire::FromStore { node, life, answer });
+            }
+            Wire::FromStore { node, life, answer } => {
+                if self.nodes[node].life != life || self.nodes[node].down_until.is_some() {
+                    return;
+                }
+                let now = self.local(node);
+                if !matches!(answer, StoreAnswer::Failed) {
+                    self.nodes[node].state_answered = now;
+                }
+                let actions = self.nodes[node].leadership.store(now, answer);
+                self.act(node, actions);
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += 10 * MS;
+        while let Some(entry) = self.wires.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let wire = entry.remove();
+            self.deliver(wire);
+        }
+        for node in 0..3 {
+            if let Some(until) = self.nodes[node].down_until {
+                if self.now < until {
+                    continue;
+                }
+                let life = self.nodes[node].life + 1;
+                self.nodes[node] = self.fresh(node, life);
+            }
+            let (now, status) = (self.local(node), self.status(node));
+            let actions = self.nodes[node].leadership.tick(now, status);
+            self.act(node, actions);
+        }
+        if self.now > self.cut_until {
+            self.cut = None;
+        }
+        self.check();
+    }
+
+    /// The invariant: never two nodes with authority at once, and tokens rise.
+    fn check(&mut self) {
+        let acting: Vec<(usize, u64)> = (0..3)
+            .filter(|n| self.nodes[*n].down_until.is_none())
+            .filter_map(|n| Some((n, self.nodes[n].leadership.authority(self.local(n))?)))
+            .collect();
+        assert!(acting.len() <= 1, "two leaders at {}: {acting:?}", self.now);
+        if let Some((node, token)) = acting.first() {
+            self.led_time += 1;
+            let life = self.nodes[*node].life;
+            assert_eq!(*self.led.entry(*token).or_insert((*node, life)), (*node, life), "token used twice");
+            assert_eq!(self.led.last_key_value().map(|(t, _)| *t), Some(*token), "an old token acts again");
+        }
+    }
+
+    fn leader(&self) -> Option<usize> {
+        (0..3).find(|n| {
+            self.nodes[*n].down_until.is_none() && self.nodes[*n].leadership.authority(self.local(*n)).is_some()
+        })
+    }
+
+    fn run(&mut self, time: u64) {
+        let until = self.now + time;
+        while self.now < until {
+            self.step();
+        }
+    }
+
+    fn crash(&mut self, node: usize, back: u64) {
+        self.nodes[node].down_until = Some(self.now + back);
+    }
+}
+
+#[test]
+fn never_two_leaders_under_any_trouble() {
+    for seed in 0..60 {
+        let mut world = World::new(seed);
+        for _ in 0..25 {
+            let time = world.rng.random_range(200 * MS..6 * limits::SECOND);
+            world.run(time);
+            let node = world.rng.random_range(0..3);
+            let back = world.rng.random_range(50 * MS..4 * limits::SECOND);
+            match world.rng.random_range(0..8) {
+                0 => world.crash(node, back),
+                1 => (0..3).for_each(|n| world.crash(n, back)),
+                2 => world.leader().into_iter().for_each(|n| world.crash(n, back)),
+                3 => world.state_down = !world.state_down,
+                4 => world.refused = if world.refused.is_none() { Some(node) } else { None },
+                5 | 6 => {
+                    let whom = world.leader().unwrap_or(node);
+                    world.cut = Some((whom, world.rng.random_bool(0.5)));
+                    world.cut_until = world.now + world.rng.random_range(limits::SECOND..9 * limits::SECOND);
+                }
+                _ => {}
+            }
+        }
+        // Once the troubles end, somebody leads again.
+        (world.state_down, world.refused, world.cut) = (false, None, None);
+        world.run(12 * limits::SECOND);
+        assert!(world.leader().is_some(), "nobody leads, seed {seed}");
+        assert!(world.led_time > 1_000, "seed {seed} was led only {} steps", world.led_time);
+    }
+}
+
+#[test]
+fn a_state_outage_alone_does_not_stop_the_leader() {
+    let mut world = World::new(1);
+    world.run(5 * limits::SECOND);
+    let leader = world.leader().expect("a leader");
+    let tokens = world.tokens.len();
+    world.state_down = true;
+    for _ in 0..28 {
+        world.run(limits::SECOND);
+        assert_eq!(world.leader(), Some(leader));
+    }
+    world.state_down = false;
+    world.run(500 * MS);
+    assert_eq!((world.leader(), world.tokens.len()), (Some(leader), tokens));
+}
+
+#[test]
+fn a_leader_refused_by_the_state_service_hands_over() {
+    let mut world = World::new(2);
+    world.run(5 * limits::SECOND);
+    let leader = world.leader().expect("a leader");
+    world.refused = Some(leader);
+    world.run(7 * limits::SECOND);
+    assert!(world.leader().is_some_and(|n| n != leader), "{:?}", world.leader());
+}
+
+#[test]
+fn a_leader_that_reaches_only_the_state_service_gives_up() {
+    let mut world = World::new(3);
+    world.run(5 * limits::SECOND);
+    let leader = world.leader().expect("a leader");
+    (world.cut, world.cut_until) = (Some((leader, false)), world.now + 30 * limits::SECOND);
+    world.run(8 * limits::SECOND);
+    assert!(world.leader().is_some_and(|n| n != leader));
+}
+
+#[test]
+fn a_crashed_leader_is_followed_within_the_shortest_worker_lease() {
+    for seed in 0..20 {
+        let mut world = World::new(seed);
+        world.run(5 * limits::SECOND);
+        let leader = world.leader().expect("a leader");
+        world.crash(leader, 60 * limits::SECOND);
+        world.run(6 * limits::SECOND);
+        assert!(world.leader().is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_leader_that_returns_at_once_resumes_at_once() {
+    let mut world = World::new(4);
+    world.run(5 * limits::SECOND);
+    let leader = world.leader().expect("a leader");
+    world.crash(leader, 300 * MS);
+    world.run(1_500 * MS);
+    assert_eq!(world.leader(), Some(leader));
+    assert_eq!(world.tokens.last().map(|t| t.0), Some(2));
+}
+
+#[test]
+fn an_echo_to_an_earlier_incarnation_counts_for_nothing() {
+    let names = vec!["a".to_string(), "b".to_string(), "c".to_string()];
+    let now = 1 << 45;
+    let mut node = Leadership::new(names, 0, 1, now, limits::SECOND, 0);
+    // A promise echoing a clock that began elsewhere: beyond ours, or long run out.
+    for echo in [now + 9, now - 10 * limits::SECOND] {
+        node.message(now + 1, 1, Status::default(), Message::Promise { echo });
+    }
+    assert!(node.promises_until(now + 1) <= now + 1);
+}
--- a/src/server.rs
+++ b/src/server.rs
@@ -118,7 +118,7 @@
     let now = clock.now();
     let peers_alone = limits::peers_alone(deployment.workers.cancel_s, deployment.workers.lease_s);
     let seed = sender.incarnation;
-    let leadership = Leadership::new(names.clone(), me, sender.incarnation, now, peers_alone, seed);
+    let leadership = Leadership::new(names, me, sender.incarnation, now, peers_alone, seed);
     let hub = Hub {
         config: Config {
             token: 0,
@@ -137,7 +137,6 @@
         events,
         leadership,
         incarnation: sender.incarnation,
-        names,
         outgoing,
         core: None,
         entry: 0,
@@ -222,7 +221,6 @@
     events: mpsc::Sender<Event>,
     leadership: Leadership,
     incarnation: u64,
-    names: Vec<String>,
     outgoing: Vec<Option<mpsc::Sender<Payload>>>,
     core: Option<Core>,
     /// Version of the epoch that every transaction of this leader rests on.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -36,6 +36,8 @@
 #[serde(rename_all = "snake_case")]
 pub enum Rig {
     Sweep,
+    /// Tasks that only run together.
+    Gang,
     Service,
 }
 
@@ -100,6 +102,7 @@
             team: self.crew.clone(),
             kind: match self.rig {
                 Rig::Sweep => Kind::Array,
+                Rig::Gang => Kind::Gang,
                 Rig::Service => Kind::Service,
             },
             priority: match self.precedence {
@@ -167,10 +170,11 @@
 impl CheckinTask {
     pub fn status(&self) -> TaskStatus {
         match (self.status.as_str(), self.cause.as_deref()) {
-            ("fetching", _) => TaskStatus::Fetching,
+            ("fetching" | "waiting", _) => TaskStatus::Fetching,
             ("flushing", _) => TaskStatus::Saving,
             ("exited", Some("done")) => TaskStatus::Exited(Cause::Done),
-            ("exited", Some("halted")) => TaskStatus::Exited(Cause::Stopped),
+            // A gang's task whose mates are gone or never came has not failed.
+            ("exited", Some("halted" | "mates_gone" | "incomplete")) => TaskStatus::Exited(Cause::Stopped),
             ("exited", Some("no_room")) => TaskStatus::Exited(Cause::NoRoom),
             ("exited", Some("in_use")) => TaskStatus::Exited(Cause::Busy),
             ("exited", Some("unknown")) => TaskStatus::Exited(Cause::Unknown),
