A machine's lease counts from its first report: it was given up the moment it came up

Cause: a machine younger than the leader had no answer yet, so its lease seemed to have ended at once and it was returned as lost. Found by the plain model of the world (jobs never done).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -372,7 +372,9 @@
         let ended: Vec<String> = self
             .machines
             .values()
-            .filter(|m| m.phase != Phase::Lost && now >= m.answered.max(self.started) + lease)
+            // A worker first heard of may have begun its lease as late as then: without its report in the
+            // sum, every machine younger than this leader was given up the moment it came up.
+            .filter(|m| m.phase != Phase::Lost && now >= m.answered.max(m.heard).max(self.started) + lease)
             .filter(|m| m.phase == Phase::Up || !m.tasks.is_empty() || (m.recorded && !m.settled))
             .map(|m| m.name.clone())
             .collect();
--- /dev/null
+++ b/tests/core_rules.rs
@@ -0,0 +1,481 @@
+//! The core against a plain model of the world: workers that really hold tasks, answers that get
+//! lost, reports that arrive late, machines that die, changes of leader. The model keeps the truth and
+//! checks the protocol's rules against it after every step; virtual time, fixed seeds.
+
+use dockpier::core::model::*;
+use dockpier::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob, StoredMachine};
+use dockpier::limits::{self, SECOND};
+use dockpier::settings::{Operator, Team, Workers};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+
+const LEASE_S: f64 = 10.0;
+const STEP: u64 = 100_000;
+
+fn config(token: u64, gpus_max: f64) -> Config {
+    Config {
+        token,
+        operator: Operator::default(),
+        workers: Workers { report_s: 1.0, lease_s: LEASE_S, cancel_s: 40.0 },
+        teams: vec![Team { name: "team".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max }],
+        zones: vec!["a".into(), "b".into()],
+        list_lag_s: 3.0,
+        round_probes: limits::ROUND_PROBES,
+    }
+}
+
+fn types() -> Vec<MachineType> {
+    vec![MachineType {
+        name: "m".into(),
+        has: Resources::offered(12.0, 2.0, 48.0),
+        price: 4.0,
+        spot_price: Some(1.0),
+        boot_s: 5.0,
+        zones: vec!["a".into(), "b".into()],
+    }]
+}
+
+fn job(rng: &mut SmallRng, uid: u64) -> JobSpec {
+    let service = rng.random_bool(0.3);
+    let kinds = [Kind::Array, Kind::Array, Kind::Gang];
+    JobSpec {
+        uid: Uid(uid),
+        class: "c".into(),
+        team: "team".into(),
+        kind: if service { Kind::Service } else { kinds[rng.random_range(0..3)] },
+        priority: if service { Priority::Critical } else { Priority::Low },
+        tasks: rng.random_range(1..6),
+        needs: Resources::needed(4.0, 1.0, 14.0),
+        image: format!("i{}", rng.random_range(0..3)),
+        image_gb: 1.0,
+        types: None,
+        zone: rng.random_bool(0.1).then(|| "a".into()),
+        one_zone: !service && rng.random_bool(0.2),
+        spread: service,
+        spot: !service,
+        estimate_s: 8.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+struct Running {
+    attempt: u64,
+    ends: u64,
+    exited: Option<Cause>,
+}
+
+/// One worker, the truth about what runs.
+struct Worker {
+    spot: bool,
+    zone: String,
+    up_at: u64,
+    dead: bool,
+    cut_until: u64,
+    session: u64,
+    seq: u64,
+    token: u64,
+    lease_until: u64,
+    next_report: u64,
+    tasks: BTreeMap<TaskId, Running>,
+    gone: BTreeSet<(TaskId, u64)>,
+}
+
+struct World {
+    rng: SmallRng,
+    now: u64,
+    core: Core,
+    token: u64,
+    gpus_max: f64,
+    workers: BTreeMap<String, Worker>,
+    specs: BTreeMap<Uid, JobSpec>,
+    live: BTreeMap<Uid, (u64, BTreeSet<u32>)>,
+    withdrawn: BTreeMap<Uid, u64>,
+    over: BTreeSet<Uid>,
+    completed: BTreeMap<Uid, BTreeSet<u32>>,
+    recorded: BTreeMap<String, StoredMachine>,
+    later: Vec<(u64, Command)>,
+    held: Vec<(u64, Report)>,
+    replies: BTreeMap<u64, String>,
+    entry: u64,
+    machines_made: u64,
+    starts: u64,
+    finished: u64,
+}
+
+impl World {
+    fn new(seed: u64, gpus_max: f64) -> Self {
+        World {
+            rng: SmallRng::seed_from_u64(seed),
+            now: SECOND,
+            core: Core::new(config(1, gpus_max), SECOND),
+            token: 1,
+            gpus_max,
+            workers: BTreeMap::new(),
+            specs: BTreeMap::new(),
+            live: BTreeMap::new(),
+            withdrawn: BTreeMap::new(),
+            over: BTreeSet::new(),
+            completed: BTreeMap::new(),
+            recorded: BTreeMap::new(),
+            later: vec![
+                (0, Command::Types(types())),
+                (0, Command::Load { jobs: vec![], machines: vec![] }),
+            ],
+            held: Vec::new(),
+            replies: BTreeMap::new(),
+            entry: 0,
+            machines_made: 0,
+            starts: 0,
+            finished: 0,
+        }
+    }
+
+    fn submit(&mut self, uid: u64) {
+        let spec = job(&mut self.rng, uid);
+        self.entry += 1;
+        self.live.insert(spec.uid, (self.entry, BTreeSet::new()));
+        self.specs.insert(spec.uid, spec.clone());
+        let stored = StoredJob { spec, entry: self.entry, done: BTreeSet::new() };
+        self.later.push((self.now + STEP, Command::JobAdded(stored)));
+    }
+
+    fn withdraw(&mut self, uid: Uid) {
+        if self.live.remove(&uid).is_some() {
+            self.over.insert(uid);
+            self.withdrawn.insert(uid, self.now);
+            self.later.push((self.now + STEP, Command::JobRemoved(uid)));
+        }
+    }
+
+    /// The leader is gone; the next one knows what the state service holds, and no more.
+    fn change_leader(&mut self) {
+        self.token += 1;
+        self.now += 4 * SECOND;
+        self.core = Core::new(config(self.token, self.gpus_max), self.now);
+        self.later.clear();
+        self.replies.clear();
+        let jobs = self
+            .live
+            .iter()
+            .map(|(uid, (entry, done))| StoredJob {
+                spec: self.specs[uid].clone(),
+                entry: *entry,
+                done: done.clone(),
+            })
+            .collect();
+        let machines = self.recorded.values().cloned().collect();
+        self.later.push((self.now, Command::Types(types())));
+        self.later.push((self.now, Command::Load { jobs, machines }));
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        let mut batch = Vec::new();
+        let (due, later) = std::mem::take(&mut self.later).into_iter().partition(|(at, _)| *at <= self.now);
+        self.later = later;
+        batch.extend(Vec::into_iter(due).map(|(_, c): (u64, Command)| c));
+        self.run_workers(&mut batch);
+        let effects = self.core.step(self.now, batch);
+        for effect in effects {
+            self.carry_out(effect);
+        }
+        self.check();
+    }
+
+    fn run_workers(&mut self, batch: &mut Vec<Command>) {
+        let now = self.now;
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for name in names {
+            let jitter = self.rng.random_range(750_000..1_250_000);
+            let hold = self.rng.random_bool(0.03).then(|| now + self.rng.random_range(0..30 * SECOND));
+            let Some(worker) = self.workers.get_mut(&name) else { continue };
+            if worker.dead || now < worker.up_at {
+                continue;
+            }
+            if now >= worker.lease_until {
+                worker.tasks.clear();
+                worker.session += 1;
+                worker.lease_until = now + limits::micros(LEASE_S);
+            }
+            for (id, task) in worker.tasks.iter_mut().filter(|(_, t)| t.exited.is_none()) {
+                if now >= task.ends && self.specs[&id.uid].kind != Kind::Service {
+                    task.exited = Some(Cause::Done);
+                    self.completed.entry(id.uid).or_default().insert(id.task);
+                    worker.next_report = now;
+                }
+            }
+            if now < worker.next_report {
+                continue;
+            }
+            worker.next_report = now + jitter;
+            worker.seq += 1;
+            let report = Report {
+                machine: name.clone(),
+                address: String::new(),
+                machine_type: "m".into(),
+                zone: worker.zone.clone(),
+                spot: worker.spot,
+                session: worker.session,
+                seq: worker.seq,
+                token: worker.token,
+                notice_s: None,
+                tasks: worker
+                    .tasks
+                    .iter()
+                    .map(|(id, t)| ReportedTask {
+                        id: *id,
+                        attempt: t.attempt,
+                        status: t.exited.map_or(TaskStatus::Running, TaskStatus::Exited),
+                    })
+                    .collect(),
+            };
+            if now < worker.cut_until {
+                // Held by the cut: it arrives late, and nobody waits for its answer.
+                self.held.push((worker.cut_until, report));
+            } else if let Some(at) = hold {
+                self.held.push((at, report));
+            } else {
+                let reply = (self.token << 40) | (self.entry << 20) | (self.replies.len() as u64 + 1);
+                self.entry += 1;
+                self.replies.insert(reply, name.clone());
+                batch.push(Command::Checkin { reply, report });
+            }
+        }
+        let (due, held) = std::mem::take(&mut self.held).into_iter().partition(|(at, _)| *at <= now);
+        self.held = held;
+        for (_, report) in Vec::<(u64, Report)>::into_iter(due) {
+            batch.push(Command::Checkin { reply: 0, report });
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        let soon = self.now + self.rng.random_range(1..3) * STEP;
+        match effect {
+            Effect::Answer { reply, orders } => {
+                let Some(name) = self.replies.remove(&reply) else { return };
+                // Some answers are lost on their way.
+                if self.rng.random_bool(0.05) {
+                    return;
+                }
+                let (now, token) = (self.now, self.token);
+                let Some(worker) = self.workers.get_mut(&name) else { return };
+                if worker.token > token || worker.dead {
+                    return;
+                }
+                worker.token = token;
+                worker.lease_until = now + limits::micros(LEASE_S);
+                self.orders(&name, &orders);
+            }
+            Effect::Direct { machine, session, orders, .. } => {
+                let Some(worker) = self.workers.get(&machine) else { return };
+                if worker.session == session && self.now >= worker.cut_until && !worker.dead {
+                    self.orders(&machine, &orders);
+                }
+            }
+            Effect::CommitDone { uid, entry, tasks, .. } => {
+                let outcome = match self.live.get_mut(&uid) {
+                    Some((at, done)) if *at == entry => {
+                        done.extend(tasks.iter().copied());
+                        Outcome::Done
+                    }
+                    _ => Outcome::Refused,
+                };
+                self.later.push((soon, Command::Committed { uid, tasks, outcome }));
+            }
+            Effect::Finish { uid, .. } => {
+                let mut outcome = Outcome::Refused;
+                if self.live.remove(&uid).is_some() {
+                    let done = self.completed.get(&uid).map_or(0, BTreeSet::len);
+                    assert_eq!(done as u32, self.specs[&uid].tasks, "not_done: {uid} is called done");
+                    self.over.insert(uid);
+                    self.finished += 1;
+                    outcome = Outcome::Done;
+                }
+                self.later.push((soon, Command::Finished { uid, outcome }));
+            }
+            Effect::Record(machine) => {
+                let name = machine.name.clone();
+                self.recorded.insert(name.clone(), machine);
+                self.later.push((soon, Command::Recorded { machine: name, outcome: Outcome::Done }));
+            }
+            Effect::Unrecord(name) => {
+                self.recorded.remove(&name);
+            }
+            Effect::Rent { request, zone, spot, count, .. } => {
+                let left = 14usize.saturating_sub(self.workers.values().filter(|w| !w.dead).count());
+                let count = count.min(left as u32);
+                let mut names = Vec::new();
+                for _ in 0..count {
+                    self.machines_made += 1;
+                    let name = format!("m-{:06}", self.machines_made);
+                    let up_at = self.now + self.rng.random_range(3..8) * SECOND;
+                    let worker = Worker {
+                        spot,
+                        zone: zone.clone(),
+                        up_at,
+                        dead: false,
+                        cut_until: 0,
+                        session: 1,
+                        seq: 0,
+                        token: 0,
+                        lease_until: up_at + limits::micros(LEASE_S),
+                        next_report: up_at,
+                        tasks: BTreeMap::new(),
+                        gone: BTreeSet::new(),
+                    };
+                    self.workers.insert(name.clone(), worker);
+                    names.push(name);
+                }
+                let outcome = if names.is_empty() { Outcome::Refused } else { Outcome::Done };
+                self.later.push((soon, Command::Rented { request, machines: Some(names), outcome }));
+            }
+            Effect::Delete(machines) => {
+                machines.iter().for_each(|name| {
+                    self.workers.remove(name);
+                });
+                self.later.push((soon, Command::Deleted { machines, outcome: Outcome::Done }));
+            }
+            Effect::Deposed(_) => panic!("nobody else leads"),
+        }
+    }
+
+    fn orders(&mut self, name: &str, orders: &[Order]) {
+        for order in orders {
+            match order {
+                Order::Start { id, attempt } => self.start(name, *id, *attempt),
+                Order::Stop { id, attempt, .. } => {
+                    let Some(worker) = self.workers.get_mut(name) else { return };
+                    if let Some(task) = worker.tasks.get_mut(id).filter(|t| t.attempt == *attempt) {
+                        if task.exited.is_none() {
+                            task.exited = Some(Cause::Stopped);
+                            worker.next_report = self.now;
+                        }
+                    }
+                }
+                Order::Forget { id, attempt } => {
+                    let Some(worker) = self.workers.get_mut(name) else { return };
+                    if worker.tasks.get(id).is_some_and(|t| t.attempt == *attempt && t.exited.is_some()) {
+                        worker.tasks.remove(id);
+                        worker.gone.insert((*id, *attempt));
+                    }
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, name: &str, id: TaskId, attempt: u64) {
+        let spec = self.specs[&id.uid].clone();
+        let runs = self.now + self.rng.random_range(3..12) * SECOND;
+        let completed = self.completed.get(&id.uid).is_some_and(|c| c.contains(&id.task));
+        for (other, worker) in self.workers.iter().filter(|(_, w)| !w.dead) {
+            let there = worker.tasks.get(&id).is_some_and(|t| t.exited.is_none());
+            assert!(!there, "ran_twice: {id} starts on {name} while it is on {other}");
+        }
+        let since = self.withdrawn.get(&id.uid);
+        assert!(since.is_none_or(|at| self.now < at + 40 * SECOND), "ran_cancelled: {id}");
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        assert!(!worker.gone.contains(&(id, attempt)), "attempt used again: {id}");
+        assert!(!worker.spot || spec.spot, "wrong_place: {id} on a spot machine");
+        assert!(spec.zone.as_ref().is_none_or(|z| *z == worker.zone), "wrong_place: {id}");
+        if worker.tasks.contains_key(&id) {
+            return;
+        }
+        let used = worker.tasks.iter().filter(|(_, t)| t.exited.is_none()).count();
+        assert!(used < 2, "started without room: {id} on {name}");
+        let exited = completed.then_some(Cause::Done);
+        worker.tasks.insert(id, Running { attempt, ends: runs, exited });
+        worker.next_report = self.now;
+        self.starts += 1;
+        let zones: Vec<&str> = self
+            .workers
+            .values()
+            .filter(|w| !w.dead)
+            .flat_map(|w| w.tasks.iter().map(move |(i, t)| (i, t, w.zone.as_str())))
+            .filter(|(i, t, _)| i.uid == id.uid && t.exited.is_none())
+            .map(|(_, _, z)| z)
+            .collect();
+        let in_a = zones.iter().filter(|z| **z == "a").count();
+        let most = in_a.max(zones.len() - in_a);
+        assert!(!spec.spread || most as u32 <= spec.tasks.div_ceil(2), "wrong_place: {id} breaks the spread");
+        assert!(!spec.one_zone || most == zones.len(), "wrong_place: {id} breaks its one zone");
+    }
+
+    fn check(&self) {
+        let mut gpus = 0;
+        for worker in self.workers.values().filter(|w| !w.dead) {
+            for (id, _) in worker.tasks.iter().filter(|(_, t)| t.exited.is_none()) {
+                gpus += 1;
+                let since = self.withdrawn.get(&id.uid);
+                assert!(
+                    since.is_none_or(|at| self.now < at + 40 * SECOND),
+                    "ran_cancelled: {id} still on a machine"
+                );
+            }
+        }
+        assert!(self.gpus_max == 0.0 || f64::from(gpus) <= self.gpus_max, "quota: {gpus} tasks");
+    }
+
+    fn trouble(&mut self) {
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        let pick = (!names.is_empty()).then(|| names[self.rng.random_range(0..names.len())].clone());
+        let kind = self.rng.random_range(0..6);
+        let cut = self.now + self.rng.random_range(1..25) * SECOND;
+        let Some(worker) = pick.and_then(|name| self.workers.get_mut(&name)) else { return };
+        match kind {
+            0 => worker.dead = true,
+            1 | 2 => worker.cut_until = cut,
+            3 => self.change_leader(),
+            4 => {
+                let live: Vec<Uid> = self.live.keys().copied().collect();
+                if !live.is_empty() {
+                    let uid = live[self.rng.random_range(0..live.len())];
+                    self.withdraw(uid);
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+fn play(seed: u64, gpus_max: f64) {
+    let mut world = World::new(seed, gpus_max);
+    let mut uid = 0;
+    for round in 0..60 {
+        if round < 45 && world.rng.random_bool(0.5) {
+            uid += 1;
+            world.submit(uid);
+        }
+        if round < 45 && world.rng.random_bool(0.3) {
+            world.trouble();
+        }
+        for _ in 0..world.rng.random_range(10..40) {
+            world.step();
+        }
+    }
+    // Services are withdrawn, and everything else must come to its end.
+    let services: Vec<Uid> =
+        world.live.keys().copied().filter(|u| world.specs[u].kind == Kind::Service).collect();
+    services.into_iter().for_each(|uid| world.withdraw(uid));
+    for _ in 0..4_000 {
+        world.step();
+        if world.live.is_empty() {
+            break;
+        }
+    }
+    let stuck: Vec<_> = world.live.keys().filter_map(|u| world.core.jobs.get(u)).collect();
+    assert!(world.live.is_empty(), "seed {seed}: never done: {stuck:#?} {}", world.core.fleet_line());
+    assert!(world.starts > 20 && world.finished > 5, "seed {seed}: {} starts", world.starts);
+}
+
+#[test]
+fn the_rules_hold_and_every_job_ends_whatever_fails() {
+    (0..40).for_each(|seed| play(seed, 0.0));
+}
+
+#[test]
+fn a_team_limit_holds_across_changes_of_leader() {
+    (100..130).for_each(|seed| play(seed, 6.0));
+}
