--- a/src/api.rs
+++ b/src/api.rs
@@ -130,7 +130,8 @@
         };
         let over: Over = serde_json::from_value(value).map_err(|e| StoreError::Malformed(e.to_string()))?;
         let done = if over.status == "done" { over.tasks } else { 0 };
-        let state = JobState { uid: uid.to_string(), status: over.status, done: Some(done), running: Some(0) };
+        let state =
+            JobState { uid: uid.to_string(), status: over.status, done: Some(done), running: Some(0) };
         self.remember(uid, &state);
         Ok(Some(state))
     }
@@ -146,8 +147,12 @@
         }
         let (done, running) = self.summary.borrow().get(&uid).copied().unwrap_or((0, 0));
         let status = if running > 0 { "running" } else { "pending" };
-        let state =
-            JobState { uid: uid.to_string(), status: status.into(), done: Some(done), running: Some(running) };
+        let state = JobState {
+            uid: uid.to_string(),
+            status: status.into(),
+            done: Some(done),
+            running: Some(running),
+        };
         Ok(Some(state))
     }
 
@@ -232,7 +237,8 @@
         match self.store.commit(vec![store::compare(&live, entry)], then).await {
             Committed::Done { .. } => {
                 info!(job = %uid, "withdrawn");
-                let state = JobState { uid: uid.to_string(), status: "aborted".into(), done: None, running: None };
+                let state =
+                    JobState { uid: uid.to_string(), status: "aborted".into(), done: None, running: None };
                 self.remember(uid, &state);
                 Ok(json(StatusCode::OK, &state))
             }
@@ -317,4 +323,3 @@
             error(e.status(), e.status().canonical_reason().unwrap_or("error"))
         })
 }
-
--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -80,7 +80,9 @@
     }
 
     pub async fn delete(&self, names: &[String]) -> Outcome {
-        let Ok(body) = serde_json::to_vec(&Names { vessels: names.to_vec() }) else { return Outcome::Refused };
+        let Ok(body) = serde_json::to_vec(&Names { vessels: names.to_vec() }) else {
+            return Outcome::Refused;
+        };
         match self.call(Method::POST, "/rentals/delete", Some(body)).await {
             Ok(a) if a.status == 200 => Outcome::Done,
             Ok(_) => Outcome::Refused,
--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -295,10 +295,7 @@
             .flat_map(|(task, names)| names.iter().map(move |n| (*task, n)))
             .filter(|(task, name)| {
                 let id = TaskId { uid: job.spec.uid, task: *task };
-                self.machines
-                    .get(*name)
-                    .and_then(|m| m.tasks.get(&id))
-                    .is_some_and(|t| t.stopping.is_some())
+                self.machines.get(*name).and_then(|m| m.tasks.get(&id)).is_some_and(|t| t.stopping.is_some())
             })
             .count() as u32
     }
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -50,7 +50,12 @@
         }
     }
 
-    fn offers(&self, job_type: impl Fn(&str) -> bool, zone: impl Fn(&str) -> bool, spot: bool) -> Vec<(f64, Offer)> {
+    fn offers(
+        &self,
+        job_type: impl Fn(&str) -> bool,
+        zone: impl Fn(&str) -> bool,
+        spot: bool,
+    ) -> Vec<(f64, Offer)> {
         let mut offers = Vec::new();
         for t in self.types.values().filter(|t| job_type(&t.name)) {
             for z in t.zones.iter().filter(|z| zone(z)) {
@@ -95,8 +100,11 @@
             .values()
             .filter(|m| m.phase == Phase::Expected && !m.deleting)
             .map(|m| (m.machine_type.clone(), m.zone.clone(), m.spot));
-        let asked =
-            self.fleet.renting.values().flat_map(|(offer, n)| std::iter::repeat_n(offer.clone(), *n as usize));
+        let asked = self
+            .fleet
+            .renting
+            .values()
+            .flat_map(|(offer, n)| std::iter::repeat_n(offer.clone(), *n as usize));
         booting
             .chain(asked)
             .filter_map(|offer| {
@@ -144,24 +152,24 @@
                 && zones.allows(job, &p.offer.1)
                 && (!p.offer.2 || job.spec.spot)
         };
-        if let Some(p) = planned.iter_mut().filter(|p| takes(p, zones)).min_by_key(|p| (!p.used, p.room.gpus)) {
+        if let Some(p) = planned.iter_mut().filter(|p| takes(p, zones)).min_by_key(|p| (!p.used, p.room.gpus))
+        {
             p.room = p.room.minus(needs);
             p.used = true;
             zones.add(&p.offer.1);
             return true;
         }
         let patient = self.now < job.arrived + limits::SPOT_PATIENCE;
-        let mut offers =
-            self.offers(|t| job.spec.allows_type(t), |z| zones.allows(job, z), job.spec.spot);
+        let mut offers = self.offers(|t| job.spec.allows_type(t), |z| zones.allows(job, z), job.spec.spot);
         offers.retain(|(_, o)| {
             self.types.get(&o.0).is_some_and(|t| needs.fits(&t.has)) && !(job.spec.spot && !o.2 && patient)
         });
         // Equal prices: the zone with fewer of the job's tasks, then the one with fewer machines.
         let load = |o: &Offer| planned.iter().filter(|p| p.offer == *o).count();
-        let best = offers
-            .into_iter()
-            .filter(|(_, o)| !self.refused(o))
-            .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| (zones.get(&a.1 .1), load(&a.1)).cmp(&(zones.get(&b.1 .1), load(&b.1)))));
+        let best = offers.into_iter().filter(|(_, o)| !self.refused(o)).min_by(|a, b| {
+            a.0.total_cmp(&b.0)
+                .then_with(|| (zones.get(&a.1 .1), load(&a.1)).cmp(&(zones.get(&b.1 .1), load(&b.1))))
+        });
         let Some((_, offer)) = best else { return false };
         let Some(t) = self.types.get(&offer.0) else { return false };
         zones.add(&offer.1);
@@ -171,7 +179,11 @@
     }
 
     /// Keeps places for critical services in each zone; returns the machines they rest on.
-    fn plan_reserve(&self, planned: &mut Vec<Planned>, wanted: &mut BTreeMap<Offer, u32>) -> BTreeSet<String> {
+    fn plan_reserve(
+        &self,
+        planned: &mut Vec<Planned>,
+        wanted: &mut BTreeMap<Offer, u32>,
+    ) -> BTreeSet<String> {
         let mut kept = BTreeSet::new();
         let Some(shape) = self.critical_shape() else { return kept };
         for zone in &self.config.zones {
@@ -289,9 +301,16 @@
         let Some((offer, count)) = self.fleet.renting.remove(&request) else { return };
         let names = machines.unwrap_or_default();
         if outcome == Outcome::Refused || (names.len() as u32) < count {
-            let (_, pause) = self.fleet.refused.get(&offer).copied().unwrap_or((0, limits::REFUSED_PAUSE / 2));
+            let (_, pause) =
+                self.fleet.refused.get(&offer).copied().unwrap_or((0, limits::REFUSED_PAUSE / 2));
             let pause = (pause * 2).min(limits::REFUSED_PAUSE_MAX);
-            debug!(machine_type = offer.0, zone = offer.1, spot = offer.2, pause_s = pause / limits::SECOND, "refused");
+            debug!(
+                machine_type = offer.0,
+                zone = offer.1,
+                spot = offer.2,
+                pause_s = pause / limits::SECOND,
+                "refused"
+            );
             self.fleet.refused.insert(offer.clone(), (self.now + pause, pause));
         } else {
             self.fleet.refused.remove(&offer);
@@ -314,7 +333,8 @@
                 let now = self.now;
                 let machine = self.machine(&listed.machine);
                 let age = limits::micros(listed.age_s);
-                machine.boot_give_up = machine.boot_give_up.saturating_sub(age).max(now + 10 * limits::SECOND);
+                machine.boot_give_up =
+                    machine.boot_give_up.saturating_sub(age).max(now + 10 * limits::SECOND);
             }
             if listed.failed {
                 failed.push(listed.machine.name);
@@ -362,9 +382,7 @@
     /// Whether any machine could ever run the job: None while the types are not known.
     pub fn fits_some_type(job: &JobSpec, types: &BTreeMap<String, MachineType>) -> bool {
         types.values().any(|t| {
-            job.allows_type(&t.name)
-                && job.needs.fits(&t.has)
-                && t.zones.iter().any(|z| job.allows_zone(z))
+            job.allows_type(&t.name) && job.needs.fits(&t.has) && t.zones.iter().any(|z| job.allows_zone(z))
         })
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -62,19 +62,42 @@
 #[derive(Debug)]
 pub enum Command {
     /// What the state service held when this leader took over.
-    Load { jobs: Vec<StoredJob>, machines: Vec<StoredMachine> },
+    Load {
+        jobs: Vec<StoredJob>,
+        machines: Vec<StoredMachine>,
+    },
     JobAdded(StoredJob),
     JobRemoved(Uid),
     /// A check-in; the answer goes out under this number.
-    Checkin { reply: u64, report: Report },
+    Checkin {
+        reply: u64,
+        report: Report,
+    },
     /// A worker's report in answer to a direct command.
     OrdersAnswered(Report),
-    Committed { uid: Uid, tasks: BTreeSet<u32>, outcome: Outcome },
-    Finished { uid: Uid, outcome: Outcome },
-    Recorded { machine: String, outcome: Outcome },
+    Committed {
+        uid: Uid,
+        tasks: BTreeSet<u32>,
+        outcome: Outcome,
+    },
+    Finished {
+        uid: Uid,
+        outcome: Outcome,
+    },
+    Recorded {
+        machine: String,
+        outcome: Outcome,
+    },
     Types(Vec<MachineType>),
-    Rented { request: u64, machines: Option<Vec<String>>, outcome: Outcome },
-    Deleted { machines: Vec<String>, outcome: Outcome },
+    Rented {
+        request: u64,
+        machines: Option<Vec<String>>,
+        outcome: Outcome,
+    },
+    Deleted {
+        machines: Vec<String>,
+        outcome: Outcome,
+    },
     Listed(Vec<ListedMachine>),
 }
 
@@ -389,8 +412,7 @@
         }
         if !self.settled && self.loaded {
             let open = |m: &&Machine| m.recorded && !m.settled;
-            self.settled =
-                now >= self.started + lease || self.machines.values().filter(open).count() == 0;
+            self.settled = now >= self.started + lease || self.machines.values().filter(open).count() == 0;
             if self.settled {
                 info!(after_ms = (now - self.started) / 1000, "all machines of earlier leaders settled");
                 self.news = true;
@@ -468,6 +490,10 @@
             };
             job.places.iter().filter(|p| on(*p)).count() as u32
         };
-        self.jobs.values().filter(|j| !j.over).map(|j| (j.spec.uid, j.done.len() as u32, running(j))).collect()
+        self.jobs
+            .values()
+            .filter(|j| !j.over)
+            .map(|j| (j.spec.uid, j.done.len() as u32, running(j)))
+            .collect()
     }
 }
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -65,7 +65,11 @@
         }
         if report.session > machine.session {
             if machine.session > 0 {
-                info!(machine = report.machine, session = report.session, "new session: all its tasks are gone");
+                info!(
+                    machine = report.machine,
+                    session = report.session,
+                    "new session: all its tasks are gone"
+                );
             }
             // Whatever an earlier session held died with its lease.
             self.clear_machine(&report.machine);
@@ -286,8 +290,11 @@
         let own = machine.tasks.iter().filter_map(|(id, t)| {
             t.stopping.map(|(_, grace_s)| Order::Stop { id: *id, attempt: t.attempt, grace_s })
         });
-        let foreign =
-            machine.foreign.iter().map(|(id, attempt)| Order::Stop { id: *id, attempt: *attempt, grace_s: 0.0 });
+        let foreign = machine.foreign.iter().map(|(id, attempt)| Order::Stop {
+            id: *id,
+            attempt: *attempt,
+            grace_s: 0.0,
+        });
         own.chain(foreign)
     }
 
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -23,13 +23,26 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Message {
     /// From a leader (token above 0) or anybody (0). Asks for a grant if it leads.
-    Heartbeat { token: u64, sent: u64 },
+    Heartbeat {
+        token: u64,
+        sent: u64,
+    },
     /// A grant in answer to a heartbeat.
-    Grant { token: u64, echo: u64 },
-    PromiseRequest { sent: u64 },
-    Promise { echo: u64 },
+    Grant {
+        token: u64,
+        echo: u64,
+    },
+    PromiseRequest {
+        sent: u64,
+    },
+    Promise {
+        echo: u64,
+    },
     /// The leader stops and names who should follow.
-    Release { token: u64, successor: usize },
+    Release {
+        token: u64,
+        successor: usize,
+    },
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -60,11 +73,24 @@
 
 #[derive(Debug, Clone)]
 pub enum StoreAnswer {
-    Probed { epoch: Option<(Epoch, u64)>, locked: bool },
-    Won { permit: u64, entry: u64, lease_sent: u64 },
+    Probed {
+        epoch: Option<(Epoch, u64)>,
+        locked: bool,
+    },
+    Won {
+        permit: u64,
+        entry: u64,
+        lease_sent: u64,
+    },
     /// Refused, or without an answer (then the lease, if any, is to be ended).
-    Lost { permit: Option<u64> },
-    Renewed { permit: u64, sent: u64, alive: bool },
+    Lost {
+        permit: Option<u64>,
+    },
+    Renewed {
+        permit: u64,
+        sent: u64,
+        alive: bool,
+    },
     Failed,
 }
 
@@ -81,8 +107,16 @@
 enum Role {
     Follower,
     /// The takeover transaction is under way.
-    Taking { token: u64, over_lock: bool },
-    Leader { token: u64, permit: Option<u64>, lease_until: u64, elected: u64 },
+    Taking {
+        token: u64,
+        over_lock: bool,
+    },
+    Leader {
+        token: u64,
+        permit: Option<u64>,
+        lease_until: u64,
+        elected: u64,
+    },
 }
 
 pub struct Leadership {
@@ -127,7 +161,14 @@
 }
 
 impl Leadership {
-    pub fn new(names: Vec<String>, me: usize, incarnation: u64, now: u64, peers_alone: u64, seed: u64) -> Self {
+    pub fn new(
+        names: Vec<String>,
+        me: usize,
+        incarnation: u64,
+        now: u64,
+        peers_alone: u64,
+        seed: u64,
+    ) -> Self {
         Leadership {
             me,
             peers: vec![Peer::default(); names.len()],
@@ -191,9 +232,11 @@
 
     /// All members attest that they cannot commit either, so no cancellation can be passing us by.
     fn all_without_state(&self, now: u64) -> bool {
-        self.peers.iter().enumerate().filter(|(i, _)| *i != self.me).all(|(_, p)| {
-            now < p.heard + limits::PEER_WORD && p.status.state_age >= limits::STATE_LOST
-        })
+        self.peers
+            .iter()
+            .enumerate()
+            .filter(|(i, _)| *i != self.me)
+            .all(|(_, p)| now < p.heard + limits::PEER_WORD && p.status.state_age >= limits::STATE_LOST)
     }
 
     pub fn is_leader(&self) -> bool {
@@ -256,7 +299,10 @@
                 .others()
                 .find(|i| self.fresh(*i, now) && self.peers[*i].status.state_age < limits::HEARTBEAT * 2);
             if let Some(successor) = served {
-                info!(successor = self.names[successor], "no state service here, a peer has it: handing over");
+                info!(
+                    successor = self.names[successor],
+                    "no state service here, a peer has it: handing over"
+                );
                 return self.hand_over(token, successor, now, actions);
             }
         }
@@ -480,8 +526,7 @@
                     actions.push(Action::Release { permit });
                     return actions;
                 };
-                let lease_until =
-                    lease_sent + shortened(limits::LOCK_LEASE_MS * 1_000);
+                let lease_until = lease_sent + shortened(limits::LOCK_LEASE_MS * 1_000);
                 // The commit must have been answered while the promises still run.
                 if !over_lock && self.promises_until(now) <= now || lease_until <= now + limits::GUARD {
                     info!("won too late, starting over");
@@ -491,8 +536,7 @@
                 }
                 info!(token, "leading");
                 self.token = self.token.max(token);
-                let epoch =
-                    Epoch { token, node: self.names[self.me].clone(), incarnation: self.incarnation };
+                let epoch = Epoch { token, node: self.names[self.me].clone(), incarnation: self.incarnation };
                 self.epoch = Some((epoch, entry));
                 self.role = Role::Leader { token, permit: Some(permit), lease_until, elected: now };
                 self.peers.iter_mut().for_each(|p| (p.granted, p.promised) = (0, 0));
--- a/src/leadership_tests.rs
+++ b/src/leadership_tests.rs
@@ -119,7 +119,8 @@
                 Action::Send(to, message) => {
                     let status = self.status(node);
                     // What a cut holds back arrives after it, and some messages arrive twice.
-                    let held = if self.cut_between(node, to) { self.cut_until.saturating_sub(self.now) } else { 0 };
+                    let held =
+                        if self.cut_between(node, to) { self.cut_until.saturating_sub(self.now) } else { 0 };
                     let copies = if self.rng.random_bool(0.05) { 2 } else { 1 };
                     for _ in 0..copies {
                         let delay = held + self.delay();
@@ -263,7 +264,8 @@
 
     fn leader(&self) -> Option<usize> {
         (0..3).find(|n| {
-            self.nodes[*n].down_until.is_none() && self.nodes[*n].leadership.authority(self.local(*n)).is_some()
+            self.nodes[*n].down_until.is_none()
+                && self.nodes[*n].leadership.authority(self.local(*n)).is_some()
         })
     }
 
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -146,7 +146,12 @@
         _ => {
             let lines = <[Line]>::ref_from_bytes(rest).map_err(|_| "wrong length")?;
             let lines = lines.iter().map(|l| (l.uid.get(), l.done.get(), l.running.get())).collect();
-            return Ok((head.node.into(), head.incarnation.get(), head.sequence.get(), Payload::Summary(lines)));
+            return Ok((
+                head.node.into(),
+                head.incarnation.get(),
+                head.sequence.get(),
+                Payload::Summary(lines),
+            ));
         }
     };
     let payload = Payload::Leadership(status, message);
--- a/src/server.rs
+++ b/src/server.rs
@@ -165,12 +165,7 @@
 
 /// Keeps the machine types known: from the state service at first, so that a node need not wait for
 /// the cloud, then from the cloud.
-async fn keep_catalog(
-    cloud: Cloud,
-    store: Store,
-    types: watch::Sender<Types>,
-    events: mpsc::Sender<Event>,
-) {
+async fn keep_catalog(cloud: Cloud, store: Store, types: watch::Sender<Types>, events: mpsc::Sender<Event>) {
     let publish = |catalog: &crate::wire::Catalog| {
         let by_name = cloud::types(catalog).into_iter().map(|t| (t.name.clone(), t)).collect();
         let known: Types = Arc::new(by_name);
@@ -377,11 +372,8 @@
                     }
                 }),
                 Action::TakeOver { token, entry, over_lock } => {
-                    let epoch = Epoch {
-                        token,
-                        node: self.settings.node_name.clone(),
-                        incarnation: self.incarnation,
-                    };
+                    let epoch =
+                        Epoch { token, node: self.settings.node_name.clone(), incarnation: self.incarnation };
                     self.ask_store(move |store| async move {
                         match store.take_over(&epoch, entry, over_lock).await {
                             Ok((permit, entry, lease_sent)) => StoreAnswer::Won { permit, entry, lease_sent },
@@ -630,7 +622,9 @@
 }
 
 /// Everything a new leader reads: jobs, finished tasks, machines; and where to follow from.
-async fn load(store: &Store) -> Result<(Vec<StoredJob>, Vec<StoredMachine>, Vec<String>, u64), store::StoreError> {
+async fn load(
+    store: &Store,
+) -> Result<(Vec<StoredJob>, Vec<StoredMachine>, Vec<String>, u64), store::StoreError> {
     let (live, revision) = store.list(store::LIVE).await?;
     let (done, _) = store.list(store::DONE).await?;
     let (fleet, _) = store.list(store::FLEET).await?;
--- a/src/store.rs
+++ b/src/store.rs
@@ -24,7 +24,9 @@
 /// What became of a transaction.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Committed {
-    Done { entry: u64 },
+    Done {
+        entry: u64,
+    },
     /// A condition failed: nothing was changed.
     Conflict,
     /// Not carried out.
@@ -125,7 +127,11 @@
         answer
     }
 
-    pub async fn get(&self, key: &str, timeout: Duration) -> Result<Option<(serde_json::Value, u64)>, StoreError> {
+    pub async fn get(
+        &self,
+        key: &str,
+        timeout: Duration,
+    ) -> Result<Option<(serde_json::Value, u64)>, StoreError> {
         let answer = self.call(Method::GET, &format!("/store/{key}"), None, timeout).await?;
         match answer.status {
             200 => json::<OneRecord>(&answer).map(|r| Some((r.value, r.entry))),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -53,10 +53,11 @@
 /// Reads JSON and names the field that is wrong.
 pub fn parse<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, String> {
     let mut json = serde_json::Deserializer::from_slice(body);
-    let value = serde_path_to_error::deserialize(&mut json).map_err(|e| match e.path().to_string().as_str() {
-        "." => e.inner().to_string(),
-        path => format!("{path}: {}", e.inner()),
-    })?;
+    let value =
+        serde_path_to_error::deserialize(&mut json).map_err(|e| match e.path().to_string().as_str() {
+            "." => e.inner().to_string(),
+            path => format!("{path}: {}", e.inner()),
+        })?;
     json.end().map_err(|e| e.to_string())?;
     Ok(value)
 }
--- a/tests/core_rules.rs
+++ b/tests/core_rules.rs
@@ -120,10 +120,7 @@
             over: BTreeSet::new(),
             completed: BTreeMap::new(),
             recorded: BTreeMap::new(),
-            later: vec![
-                (0, Command::Types(types())),
-                (0, Command::Load { jobs: vec![], machines: vec![] }),
-            ],
+            later: vec![(0, Command::Types(types())), (0, Command::Load { jobs: vec![], machines: vec![] })],
             held: Vec::new(),
             replies: BTreeMap::new(),
             entry: 0,
