--- /dev/null
+++ b/src/core/consolidate.rs
@@ -0,0 +1,115 @@
+//! Ordinary machines beyond what fixed work needs are closed to work that may use spot machines, and
+//! emptied of the few replicas they still hold, so that they can be returned. PROTOCOL, Preemption,
+//! allows a replica to be stopped in order to be moved.
+
+use super::model::*;
+use super::place::{self, ZoneCount};
+use super::Core;
+use crate::limits;
+use std::collections::BTreeSet;
+use tracing::info;
+
+impl Core {
+    /// Work that must have an ordinary machine.
+    fn is_fixed(&self, id: &TaskId) -> bool {
+        self.jobs.get(&id.uid).is_none_or(|j| !j.spec.spot)
+    }
+
+    /// Whether work that may use spot machines has waited long enough to have the surplus as well.
+    fn pressed(&self) -> bool {
+        let patience = limits::micros(self.config.operator.surplus_patience_s);
+        self.jobs.values().any(|j| {
+            j.spec.spot
+                && !j.over
+                && !j.waiting.is_empty()
+                && self.now >= j.arrived.max(j.rescaled) + patience
+        })
+    }
+
+    /// Marks, zone by zone, the machines that fixed work and the reserve could do without.
+    pub fn mark_surplus(&mut self) {
+        let open = match self.critical_shape() {
+            Some(shape) if !self.pressed() => Some(shape),
+            _ => None,
+        };
+        let mut surplus = BTreeSet::new();
+        if let Some(shape) = open {
+            let waiting: usize =
+                self.jobs.values().filter(|j| !j.spec.spot && !j.over).map(|j| j.waiting.len()).sum();
+            for zone in &self.config.zones {
+                let mut here: Vec<(usize, usize, &Machine)> = self
+                    .machines
+                    .values()
+                    .filter(|m| !m.spot && m.zone == *zone && self.usable(m))
+                    .map(|m| (m.tasks.keys().filter(|id| self.is_fixed(id)).count(), m.tasks.len(), m))
+                    .collect();
+                here.sort_by(|a, b| (b.0, b.1, &a.2.name).cmp(&(a.0, a.1, &b.2.name)));
+                let fixed: usize = here.iter().map(|(n, _, _)| n).sum();
+                let mut need = (fixed + waiting) as i64 + i64::from(self.config.operator.reserve_tasks);
+                for (_, _, machine) in here {
+                    if need <= 0 {
+                        surplus.insert(machine.name.clone());
+                    }
+                    need -= shape.count_in(&machine.has);
+                }
+            }
+        }
+        for machine in self.machines.values_mut() {
+            machine.surplus = surplus.contains(&machine.name);
+        }
+    }
+
+    /// Stops one replica on a surplus machine, if a place with its image is free elsewhere. One at a
+    /// time, and only while all is calm: a move costs its users a few seconds.
+    pub fn move_replica(&mut self) {
+        let calm = self.settled
+            && self.now >= self.started + limits::MOVE_CALM
+            && self.now >= self.fleet.moved + limits::MOVE_PAUSE
+            && self.jobs.values().all(|j| j.over || j.spec.spot || j.waiting.is_empty());
+        if !calm {
+            return;
+        }
+        let mut sources: Vec<&Machine> = self
+            .machines
+            .values()
+            .filter(|m| m.surplus && m.tasks.keys().any(|id| self.is_fixed(id)))
+            .collect();
+        sources.sort_by_key(|m| (m.tasks.len(), m.name.clone()));
+        let found = sources.into_iter().find_map(|machine| {
+            let movable = machine.tasks.iter().find(|(id, task)| {
+                self.is_fixed(id)
+                    && task.stopping.is_none()
+                    && task.status == TaskStatus::Running
+                    && self.jobs.get(&id.uid).is_some_and(|job| self.has_warm_place(job, machine))
+            });
+            movable.map(|(id, _)| (machine.name.clone(), *id))
+        });
+        if let Some((machine, id)) = found {
+            info!(task = %id, machine, "moving a replica off a surplus machine");
+            self.fleet.moved = self.now;
+            let now = self.now;
+            if let Some(job) = self.jobs.get_mut(&id.uid) {
+                job.rescaled = now;
+            }
+            self.stop(&machine, id, 0.0);
+        }
+    }
+
+    /// Whether a task of the job could go from this machine to another at once, without a fetch.
+    fn has_warm_place(&self, job: &Job, from: &Machine) -> bool {
+        if job.spec.kind != Kind::Service || job.rescaled + limits::MOVE_JOB_PAUSE > self.now {
+            return false;
+        }
+        let mut zones = ZoneCount::of(job, &self.machines);
+        zones.remove(&from.zone);
+        self.machines.values().any(|m| {
+            m.name != from.name
+                && !m.surplus
+                && self.usable(m)
+                && place::allowed(job, m)
+                && zones.allows(job, &m.zone)
+                && m.images.contains(&job.spec.image)
+                && job.spec.needs.fits(&m.free())
+        })
+    }
+}
--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -165,6 +165,7 @@
                 if !job.spec.needs.fits(free)
                     || !place::allowed(job, machine)
                     || !zones.allows(job, &machine.zone)
+                    || machine.surplus && job.spec.spot
                     || pinned.as_ref().is_some_and(|z| *z != machine.zone)
                     || !reserve.spares(machine, free, &job.spec.needs)
                 {
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -22,6 +22,8 @@
     pub direct: BTreeSet<String>,
     /// Listed machines that a later list no longer shows: since when.
     missing: BTreeMap<String, u64>,
+    /// When a replica was last moved.
+    pub moved: u64,
 }
 
 impl Fleet {
@@ -46,6 +48,8 @@
         self.delete_lost();
         // Before the machines of the last leader are known, every one of them would look missing.
         if self.settled && !self.types.is_empty() {
+            self.mark_surplus();
+            self.move_replica();
             self.plan();
         }
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! The single owner of jobs, tasks, machines and blocks. Commands come in batches, effects go out.
 //! Pure: no I/O, no clock, no globals; the random numbers are seeded.
 
+pub mod consolidate;
 pub mod elastic;
 pub mod fleet;
 pub mod model;
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -242,6 +242,8 @@
     /// When the cloud takes it away.
     pub recall_at: Option<u64>,
     pub draining: bool,
+    /// An ordinary machine that fixed work and the reserve could do without.
+    pub surplus: bool,
     pub deleting: bool,
     pub errors: BTreeSet<Uid>,
     pub no_room_until: u64,
--- a/src/core/place.rs
+++ b/src/core/place.rs
@@ -20,6 +20,12 @@
         *self.0.entry(zone.into()).or_default() += 1;
     }
 
+    pub fn remove(&mut self, zone: &str) {
+        if let Some(n) = self.0.get_mut(zone) {
+            *n = n.saturating_sub(1);
+        }
+    }
+
     pub fn get(&self, zone: &str) -> u32 {
         self.0.get(zone).copied().unwrap_or(0)
     }
@@ -42,14 +48,15 @@
 
 /// Smaller is better. Work that may use spot machines leaves the ordinary ones to those that may
 /// not; a warm image saves the fetch; full machines are filled first so that others empty.
-pub fn cost(job: &Job, machine: &Machine, room: &Resources, zones: &ZoneCount) -> (u32, u32, u32, i64) {
-    let kind = u32::from(job.spec.spot && !machine.spot);
-    let cold = u32::from(!machine.images.contains(&job.spec.image));
+pub fn cost(job: &Job, machine: &Machine, room: &Resources, zones: &ZoneCount) -> [i64; 5] {
+    let kind = i64::from(job.spec.spot && !machine.spot);
+    let cold = i64::from(!machine.images.contains(&job.spec.image));
+    let surplus = i64::from(machine.surplus);
     let left = room.minus(&job.spec.needs);
     let emptiness = left.gpus * 1000 + left.cpus;
     if job.spec.priority == Priority::Critical {
-        (kind, cold, zones.get(&machine.zone), emptiness)
+        [kind, cold, surplus, i64::from(zones.get(&machine.zone)), emptiness]
     } else {
-        (kind, cold, 0, emptiness)
+        [kind, cold, surplus, 0, emptiness]
     }
 }
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -34,6 +34,7 @@
             images: BTreeSet::new(),
             recall_at: None,
             draining: false,
+            surplus: false,
             deleting: false,
             errors: BTreeSet::new(),
             no_room_until: 0,
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -92,6 +92,13 @@
 
 // ---- fleet ----
 
+/// A new leader moves no replicas until it has seen this much calm.
+pub const MOVE_CALM: u64 = 30_000_000;
+/// Between two moves of replicas, so that never many are down at once.
+pub const MOVE_PAUSE: u64 = 4_000_000;
+/// Between two moves of one job's replicas, and between its start and the first.
+pub const MOVE_JOB_PAUSE: u64 = 60_000_000;
+
 /// How often the fleet is weighed.
 pub const FLEET_ROUND: u64 = 1_000_000;
 /// A boot that takes this many times the nominal time is given up (most take at most 1.5 times).
