Machines' images kept in their records; late reports of returned machines ignored

Cause: after a change of leader nothing was known of images but what ran. A held report made a returned machine seem to exist again, and its tasks in two places.

--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -59,6 +59,7 @@
                     zone: v.quay,
                     spot: v.driftwood,
                     address: v.address,
+                    images: Default::default(),
                 },
             })
             .collect();
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -24,6 +24,8 @@
     missing: BTreeMap<String, u64>,
     /// When a replica was last moved.
     pub moved: u64,
+    /// Machines that are provably gone; names are never used again.
+    pub gone: BTreeSet<String>,
 }
 
 impl Fleet {
@@ -295,6 +297,7 @@
             }
             // The cloud's 200 is proof: the machine and everything on it are gone.
             self.clear_machine(&name);
+            self.fleet.gone.insert(name.clone());
             if self.machines.remove(&name).is_some_and(|m| m.recorded || m.recording) {
                 self.effects.push(Effect::Unrecord(name));
             }
@@ -321,7 +324,14 @@
         }
         for name in names {
             let (machine_type, zone, spot) = offer.clone();
-            self.machine(&super::StoredMachine { name, machine_type, zone, spot, address: String::new() });
+            self.machine(&super::StoredMachine {
+                name,
+                machine_type,
+                zone,
+                spot,
+                address: String::new(),
+                images: BTreeSet::new(),
+            });
         }
     }
 
@@ -330,7 +340,8 @@
         let mut failed = Vec::new();
         for listed in list {
             shown.insert(listed.machine.name.clone());
-            let known = self.machines.contains_key(&listed.machine.name);
+            let name = &listed.machine.name;
+            let known = self.machines.contains_key(name) || self.fleet.gone.contains(name);
             if !known && self.loaded {
                 // A late rental, or one of an earlier leader's: used, or returned when idle.
                 debug!(machine = listed.machine.name, "listed and not known: adopted");
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -42,6 +42,8 @@
     pub zone: String,
     pub spot: bool,
     pub address: String,
+    /// Images it has, so that a new leader still places jobs where they start at once.
+    pub images: BTreeSet<String>,
 }
 
 /// A machine as the cloud lists it: only ever a hint.
@@ -239,6 +241,7 @@
                 if let Some(machine) = self.machines.get_mut(&machine) {
                     machine.recording = false;
                     machine.recorded |= outcome == Outcome::Done;
+                    machine.images_changed |= outcome != Outcome::Done;
                 }
             }
             Command::Types(types) => {
@@ -264,6 +267,7 @@
         for stored in machines {
             let machine = self.machine(&stored);
             machine.recorded = true;
+            machine.images = stored.images;
         }
         // Check-ins before this point were answered without being noted: leases count from here.
         self.started = self.now;
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -239,6 +239,8 @@
     /// Tasks of jobs that this leader does not know, to be stopped: (task, attempt).
     pub foreign: BTreeSet<(TaskId, u64)>,
     pub images: BTreeSet<String>,
+    /// Its record in the state service does not name all of them yet.
+    pub images_changed: bool,
     /// When the cloud takes it away.
     pub recall_at: Option<u64>,
     pub draining: bool,
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -32,6 +32,7 @@
             exited: BTreeMap::new(),
             foreign: BTreeSet::new(),
             images: BTreeSet::new(),
+            images_changed: false,
             recall_at: None,
             draining: false,
             surplus: false,
@@ -47,7 +48,9 @@
     /// Takes in a task list. `checkin`: it came as a check-in, which proves that the answer to the
     /// one before was carried out or dropped; an answer to direct commands proves no such thing.
     pub fn report(&mut self, report: Report, checkin: bool) {
-        if !self.loaded {
+        // A report that a cut held back may arrive after its machine was returned; its tasks are long
+        // elsewhere, and taking it in would make them seem to be in two places.
+        if !self.loaded || self.fleet.gone.contains(&report.machine) {
             return;
         }
         let stored = StoredMachine {
@@ -56,6 +59,7 @@
             zone: report.zone.clone(),
             spot: report.spot,
             address: report.address.clone(),
+            images: BTreeSet::new(),
         };
         let (now, token) = (self.now, self.config.token);
         let machine = self.machine(&stored);
@@ -94,7 +98,8 @@
         if report.notice_s.is_some() {
             self.drain_for_notice(&report.machine);
         }
-        if !self.machines[&report.machine].recorded {
+        let machine = &self.machines[&report.machine];
+        if !machine.recorded || machine.images_changed {
             self.record(&report.machine);
         }
     }
@@ -119,7 +124,7 @@
             let now = self.now;
             let Some(machine) = self.machines.get_mut(name) else { break };
             if task.status == TaskStatus::Running {
-                machine.images.insert(image);
+                machine.images_changed |= machine.images.insert(image);
             }
             match machine.tasks.get_mut(&task.id) {
                 Some(placed) if placed.attempt == task.attempt || !placed.seen => {
@@ -277,12 +282,14 @@
             return;
         }
         machine.recording = true;
+        machine.images_changed = false;
         let stored = StoredMachine {
             name: machine.name.clone(),
             machine_type: machine.machine_type.clone(),
             zone: machine.zone.clone(),
             spot: machine.spot,
             address: machine.address.clone(),
+            images: machine.images.clone(),
         };
         self.effects.push(Effect::Record(stored));
     }
--- a/src/server.rs
+++ b/src/server.rs
@@ -506,6 +506,7 @@
                     quay: machine.zone,
                     driftwood: machine.spot,
                     address: machine.address,
+                    images: machine.images.into_iter().collect(),
                 };
                 let key = format!("{}{}", store::FLEET, machine.name);
                 let changes = store::write(&key, record).into_iter().collect();
@@ -657,6 +658,7 @@
                 zone: fleet.quay,
                 spot: fleet.driftwood,
                 address: fleet.address,
+                images: fleet.images.into_iter().collect(),
             })
         })
         .collect();
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -359,4 +359,7 @@
     pub quay: String,
     pub driftwood: bool,
     pub address: String,
+    /// Images that it has fetched, as far as the leader saw.
+    #[serde(default)]
+    pub images: Vec<String>,
 }
