--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -5,9 +5,10 @@
 //! rescale gap are shrunk, lowest first and never below their minimum, and only if together they
 //! free the newcomer's minimum; that room counts once the workers confirm.
 
-use super::model::{Job, Kind, Machine, Resources, TaskId, Uid};
+use super::model::{Job, Kind, Machine, Priority, Resources, TaskId, Uid};
 use super::place::{self, ZoneCount};
 use super::Core;
+use crate::limits;
 use std::collections::BTreeMap;
 use tracing::debug;
 
@@ -21,7 +22,7 @@
     pub fn rank(&self, job: &Job) -> u64 {
         let class = job.spec.priority as u64 * 1000;
         if job.places.is_empty() {
-            let aging = crate::limits::micros(self.config.operator.aging_s).max(1);
+            let aging = limits::micros(self.config.operator.aging_s).max(1);
             class + (self.now.saturating_sub(job.arrived) * 1000 / aging).min(2_999)
         } else {
             class
@@ -29,8 +30,7 @@
     }
 
     fn in_gap(&self, job: &Job) -> bool {
-        job.rescaled > 0
-            && self.now < job.rescaled + crate::limits::micros(self.config.operator.rescale_gap_s)
+        job.rescaled > 0 && self.now < job.rescaled + limits::micros(self.config.operator.rescale_gap_s)
     }
 
     /// The order of a round: highest aged priority first, earlier first on ties.
@@ -68,7 +68,7 @@
             probes += 1;
             self.consider(*uid, &order, &mut room, &mut probes);
         }
-        self.round_due = if self.cursor.is_some() { 0 } else { self.now + crate::limits::ROUND_IDLE };
+        self.round_due = if self.cursor.is_some() { 0 } else { self.now + limits::ROUND_IDLE };
     }
 
     fn wait(&mut self, uid: Uid, why: &'static str) {
@@ -115,12 +115,12 @@
         if want == 0 {
             return self.wait(uid, "team limit");
         }
-        let found = self.find(job, want, room, probes);
-        let minimum = job.minimum();
-        if held + found.len() as u32 >= minimum.min(held + want) && !found.is_empty()
-            // A service that has run keeps its width: each missing replica is replaced by itself.
-            || !found.is_empty() && job.spec.kind == Kind::Service && job.width > 0
-        {
+        let mut found = self.find(job, want, room, false, probes);
+        if job.spec.priority == Priority::Critical && job.spec.kind == Kind::Service {
+            found = self.rather_warm(uid, found, order, room, probes);
+        }
+        let Some(job) = self.jobs.get(&uid) else { return };
+        if !found.is_empty() && held + found.len() as u32 >= job.admission().min(held + want) {
             if found.len() as u32 + running > job.width {
                 let now = self.now;
                 if let Some(job) = self.jobs.get_mut(&uid) {
@@ -132,18 +132,49 @@
             for machine in found {
                 self.assign(uid, &machine, attempt, room);
             }
-            let short = self.jobs.get(&uid).is_some_and(|j| !j.waiting.is_empty());
-            if short {
-                self.wait(uid, "no further free slot");
+            if self.jobs.get(&uid).is_none_or(|j| j.waiting.is_empty()) {
+                return;
             }
-            return;
+            self.wait(uid, "no further free slot");
+            if self.jobs.get(&uid).is_some_and(|j| j.spec.kind != Kind::Service) {
+                return;
+            }
+        }
+        let Some(job) = self.jobs.get(&uid) else { return };
+        let held = job.places.len() as u32;
+        let missing = job.minimum().saturating_sub(held).max(1).min(job.waiting.len() as u32);
+        self.shrink_for(uid, missing, order, room, false, probes);
+    }
+
+    /// A critical replica that would wait for its image is better off where the image is, if a lower
+    /// task there can be stopped: that takes a second or two, a fetch often more than its users bear.
+    /// Returns the machines to start on now; the other replicas wait for room under way.
+    fn rather_warm(
+        &mut self,
+        uid: Uid,
+        found: Vec<String>,
+        order: &[Uid],
+        room: &mut Room,
+        probes: &mut usize,
+    ) -> Vec<String> {
+        let Some(job) = self.jobs.get(&uid) else { return found };
+        let warm =
+            |name: &String| self.machines.get(name).is_some_and(|m| m.images.contains(&job.spec.image));
+        let (mut now, cold): (Vec<String>, Vec<String>) = found.into_iter().partition(warm);
+        let missing = cold.len() as u32;
+        if missing == 0 || job.spec.image_gb < limits::COLD_GB {
+            now.extend(cold);
+            return now;
         }
-        let missing = minimum.saturating_sub(held).max(1).min(want);
-        self.shrink_for(uid, missing, order, room, probes);
+        if !self.shrink_for(uid, missing, order, room, true, probes) {
+            now.extend(cold);
+        }
+        now
     }
 
     /// Machines for up to `want` tasks of the job, the best ones first; an entry per task.
-    fn find(&self, job: &Job, want: u32, room: &Room, probes: &mut usize) -> Vec<String> {
+    /// `warm`: only where its image is.
+    fn find(&self, job: &Job, want: u32, room: &Room, warm: bool, probes: &mut usize) -> Vec<String> {
         let mut zones = ZoneCount::of(job, &self.machines);
         let pinned = if job.spec.one_zone && job.places.is_empty() {
             match self.best_zone(job, room) {
@@ -166,6 +197,7 @@
                     || !place::allowed(job, machine)
                     || !zones.allows(job, &machine.zone)
                     || machine.surplus && job.spec.spot
+                    || warm && !machine.images.contains(&job.spec.image)
                     || pinned.as_ref().is_some_and(|z| *z != machine.zone)
                     || !reserve.spares(machine, free, &job.spec.needs)
                 {
@@ -199,24 +231,35 @@
     }
 
     /// Stops the newest tasks of lower jobs, lowest first, if together that frees `missing` slots.
-    fn shrink_for(&mut self, uid: Uid, missing: u32, order: &[Uid], room: &mut Room, probes: &mut usize) {
-        let Some(job) = self.jobs.get(&uid) else { return };
+    /// Returns whether that room is under way.
+    fn shrink_for(
+        &mut self,
+        uid: Uid,
+        missing: u32,
+        order: &[Uid],
+        room: &mut Room,
+        warm: bool,
+        probes: &mut usize,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&uid) else { return false };
         // Room that stops under way will free counts as found, so that nobody shrinks twice for it.
         let mut soon = Room { free: BTreeMap::new() };
         for name in room.free.keys() {
             if let Some(machine) = self.machines.get(name) {
-                let pending = machine.free_soon().minus(&machine.free());
+                let pending = machine.free_soon(self.now).minus(&machine.free());
                 soon.free.insert(name.clone(), room.free[name].plus(&pending));
             }
         }
-        if self.find(job, missing, &soon, probes).len() as u32 >= missing {
+        let coming = self.find(job, missing, &soon, warm, probes);
+        if coming.len() as u32 >= missing {
             // Hold the room for this job: nobody later in the round may take it.
-            for machine in self.find(job, missing, &soon, probes) {
+            for machine in coming {
                 if let Some(free) = room.free.get_mut(&machine) {
                     *free = free.minus(&job.spec.needs);
                 }
             }
-            return self.wait(uid, "stops under way");
+            self.wait(uid, "stops under way");
+            return true;
         }
         let mut stops: Vec<(String, TaskId)> = Vec::new();
         'jobs: for victim in order.iter().rev().filter_map(|v| self.jobs.get(v)) {
@@ -241,19 +284,22 @@
                 let Some(free) = soon.free.get_mut(name) else { continue };
                 let Some(machine) = self.machines.get(name) else { continue };
                 // A stop that cannot help the newcomer would be for nothing.
-                if !place::allowed(job, machine) {
+                if !place::allowed(job, machine) || warm && !machine.images.contains(&job.spec.image) {
                     continue;
                 }
                 *free = free.plus(&victim.spec.needs);
                 stops.push((name.clone(), id));
-                if self.find(job, missing, &soon, probes).len() as u32 >= missing {
+                if self.find(job, missing, &soon, warm, probes).len() as u32 >= missing {
                     break 'jobs;
                 }
             }
         }
-        let targets = self.find(job, missing, &soon, probes);
+        let targets = self.find(job, missing, &soon, warm, probes);
         if (targets.len() as u32) < missing {
-            return self.wait(uid, "no free slot, and lower jobs cannot yield its minimum");
+            if !warm {
+                self.wait(uid, "no free slot, and lower jobs cannot yield its minimum");
+            }
+            return false;
         }
         let needs = job.spec.needs;
         // Stops on machines that the newcomer ends up not using would be for nothing.
@@ -274,6 +320,7 @@
             self.stop(&machine, id, grace);
         }
         self.wait(uid, "stops under way");
+        true
     }
 
     /// PROTOCOL, Preemption: higher over lower priority; or a team inside its guarantee over what
@@ -316,7 +363,7 @@
     fn reserve_room(&self, room: &Room, job: &Job) -> Reserve {
         let mut reserve = Reserve { shape: None, spare: BTreeMap::new() };
         let Some(shape) = self.critical_shape() else { return reserve };
-        if job.spec.priority == super::model::Priority::Critical {
+        if job.spec.priority == Priority::Critical {
             return reserve;
         }
         for (name, free) in &room.free {
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -259,9 +259,14 @@
         self.tasks.values().fold(self.has, |room, t| room.minus(&t.needs))
     }
 
-    /// Room once every stop under way is confirmed.
-    pub fn free_soon(&self) -> Resources {
-        self.tasks.values().filter(|t| t.stopping.is_none()).fold(self.has, |room, t| room.minus(&t.needs))
+    /// Room once every stop under way is confirmed. A stop that has taken long is not counted on.
+    pub fn free_soon(&self, now: u64) -> Resources {
+        let under_way = |t: &Placed| {
+            t.stopping.is_some_and(|(at, grace)| {
+                now < at + crate::limits::micros(grace) + crate::limits::STOP_PATIENCE
+            })
+        };
+        self.tasks.values().filter(|t| !under_way(t)).fold(self.has, |room, t| room.minus(&t.needs))
     }
 }
 
@@ -319,6 +324,15 @@
         self.spec.tasks - self.done.len() as u32
     }
 
+    /// The least number of tasks that it starts with. Replicas serve their users each by itself, so
+    /// those of a service start as they find room, though its width stays what it is.
+    pub fn admission(&self) -> u32 {
+        match self.spec.kind {
+            Kind::Service => 1,
+            _ => self.minimum(),
+        }
+    }
+
     pub fn minimum(&self) -> u32 {
         match self.spec.kind {
             Kind::Array => 1.min(self.unfinished()),
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -124,6 +124,9 @@
             let now = self.now;
             let Some(machine) = self.machines.get_mut(name) else { break };
             if task.status == TaskStatus::Running {
+                if machine.tasks.get(&task.id).is_some_and(|t| t.status != TaskStatus::Running) {
+                    debug!(task = %task.id, machine = name, "runs");
+                }
                 machine.images_changed |= machine.images.insert(image);
             }
             match machine.tasks.get_mut(&task.id) {
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -78,8 +78,10 @@
 pub const ROUND_PROBES: usize = 4_000;
 /// A round without news runs this often, for gaps and ages that have run out.
 pub const ROUND_IDLE: u64 = 500_000;
-/// A stop that the worker has not confirmed is sent again to its address after this.
-pub const STOP_REPEAT: u64 = 1_500_000;
+/// Room of a stop that is not confirmed this long after its grace is not counted on any more.
+pub const STOP_PATIENCE: u64 = 4_000_000;
+/// Images below this size (GB) are fetched in a second or two: no reason to stop anybody for.
+pub const COLD_GB: f64 = 1.0;
 /// Errors of different jobs on one machine after which it is replaced.
 pub const MACHINE_ERRORS: u32 = 2;
 /// First pause of a job whose task failed; doubles up to the longest.
