--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -133,7 +133,8 @@
     token: u64,
     /// The last leader heard: node, token, when.
     leader: Option<(usize, u64, u64)>,
-    leader_since: u64,
+    /// Workers have reached the leader heard last.
+    leader_reached: bool,
     epoch: Option<(Epoch, u64)>,
     probed: bool,
     locked: bool,
@@ -148,6 +149,8 @@
     status: Status,
     /// Since when nobody reaches us although workers ask elsewhere or nobody at all is heard.
     unreached_since: Option<u64>,
+    /// A worker has checked in with this leader since it was elected.
+    reached: bool,
     peers_alone: u64,
     rng: SmallRng,
 }
@@ -180,7 +183,7 @@
             promise_out: None,
             token: 0,
             leader: None,
-            leader_since: 0,
+            leader_reached: false,
             epoch: None,
             probed: false,
             locked: true,
@@ -194,6 +197,7 @@
             may_resume: true,
             status: Status { state_age: u64::MAX, workers: 0 },
             unreached_since: None,
+            reached: false,
             peers_alone,
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -246,8 +250,9 @@
     /// Whom a worker should report to: named only while that leader says that workers reach it.
     pub fn leader_name(&self, now: u64) -> Option<&str> {
         let (node, _, heard) = self.leader?;
-        let reached = self.peers[node].status.workers > 0 || now < self.leader_since + limits::GRANT;
-        let known = node != self.me && now < heard + limits::PEER_WORD && reached;
+        // One that workers have stopped reaching is not named: they would hang there.
+        let lost = self.leader_reached && self.peers[node].status.workers == 0;
+        let known = node != self.me && now < heard + limits::PEER_WORD && !lost;
         known.then(|| self.names[node].as_str())
     }
 
@@ -316,7 +321,9 @@
             .filter(|i| self.fresh(*i, now) && self.peers[*i].status.workers > 0)
             .max_by_key(|i| self.peers[*i].status.workers);
         let isolated = self.names.len() > 1 && !self.others().any(|i| self.fresh(i, now));
-        let unreached = self.status.workers == 0 && (asked.is_some() || isolated);
+        self.reached |= self.status.workers > 0;
+        // Before any worker has come here, the first ones may well ask a peer first.
+        let unreached = self.reached && self.status.workers == 0 && (asked.is_some() || isolated);
         if !unreached || now < elected + limits::GRANT {
             self.unreached_since = None;
             return;
@@ -495,8 +502,9 @@
         }
         actions.extend(self.seen_token(token, now));
         if self.leader.is_none_or(|(node, t, _)| (node, t) != (from, token)) {
-            self.leader_since = now;
+            self.leader_reached = false;
         }
+        self.leader_reached |= self.peers[from].status.workers > 0;
         self.leader = Some((from, token, now));
         self.campaigning = false;
         if matches!(self.role, Role::Follower) && self.promise_out.is_some_and(|(to, _)| to == self.me) {
@@ -541,6 +549,7 @@
                 self.role = Role::Leader { token, permit: Some(permit), lease_until, elected: now };
                 self.peers.iter_mut().for_each(|p| (p.granted, p.promised) = (0, 0));
                 self.may_resume = false;
+                self.reached = false;
                 self.grant_out = None;
                 self.leader = None;
                 self.renew_due = now + limits::RENEW;
