Close surplus machines only as far as the rest has room; room left over ignores the gap

Cause: every array short of its width counted as pressing, even one only inside its rescale gap, so surplus ordinary machines were never closed while batch work came in. Exception to the design: what no job outside the gap takes goes to those inside it, since idle room helps nobody; shrinking keeps the gap.

--- a/src/core/consolidate.rs
+++ b/src/core/consolidate.rs
@@ -15,48 +15,63 @@
         self.jobs.get(&id.uid).is_none_or(|j| !j.spec.spot)
     }
 
-    /// Whether work that may use spot machines has waited long enough to have the surplus as well.
-    fn pressed(&self) -> bool {
-        let patience = limits::micros(self.config.operator.surplus_patience_s);
-        self.jobs.values().any(|j| {
-            j.spec.spot
-                && !j.over
-                && !j.waiting.is_empty()
-                && self.now >= j.arrived.max(j.rescaled) + patience
-        })
-    }
-
-    /// Marks, zone by zone, the machines that fixed work and the reserve could do without.
+    /// Marks, zone by zone, the machines that fixed work and the reserve could do without, emptiest
+    /// first, as far as the other machines have room for what runs on them and for what waits.
     pub fn mark_surplus(&mut self) {
-        let open = match self.critical_shape() {
-            Some(shape) if !self.pressed() => Some(shape),
-            _ => None,
-        };
+        self.machines.values_mut().for_each(|m| m.surplus = false);
+        let Some(shape) = self.critical_shape() else { return };
+        let elastic = self.largest(|j| j.spec.spot).unwrap_or(shape);
+        let mut candidates: Vec<(usize, String)> = Vec::new();
+        for zone in &self.config.zones {
+            candidates.extend(self.beyond_need(zone, &shape));
+        }
+        candidates.sort();
+        let count = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
+        let slots = |m: &Machine| elastic.count_in(&m.free());
+        let reserve = i64::from(self.config.operator.reserve_tasks) * count(self.config.zones.len());
+        let waiting: usize =
+            self.jobs.values().filter(|j| j.spec.spot && !j.over).map(|j| j.waiting.len()).sum();
+        let mut free: i64 = self.machines.values().filter(|m| self.usable(m)).map(slots).sum();
+        free -= reserve + count(waiting);
         let mut surplus = BTreeSet::new();
-        if let Some(shape) = open {
-            let waiting: usize =
-                self.jobs.values().filter(|j| !j.spec.spot && !j.over).map(|j| j.waiting.len()).sum();
-            for zone in &self.config.zones {
-                let mut here: Vec<(usize, usize, &Machine)> = self
-                    .machines
-                    .values()
-                    .filter(|m| !m.spot && m.zone == *zone && self.usable(m))
-                    .map(|m| (m.tasks.keys().filter(|id| self.is_fixed(id)).count(), m.tasks.len(), m))
-                    .collect();
-                here.sort_by(|a, b| (b.0, b.1, &a.2.name).cmp(&(a.0, a.1, &b.2.name)));
-                let fixed: usize = here.iter().map(|(n, _, _)| n).sum();
-                let mut need = (fixed + waiting) as i64 + i64::from(self.config.operator.reserve_tasks);
-                for (_, _, machine) in here {
-                    if need <= 0 {
-                        surplus.insert(machine.name.clone());
-                    }
-                    need -= shape.count_in(&machine.has);
-                }
+        for (_, name) in candidates {
+            let Some(machine) = self.machines.get(&name) else { continue };
+            let held = count(machine.tasks.keys().filter(|id| !self.is_fixed(id)).count());
+            let cost = slots(machine) + held;
+            if free >= cost {
+                free -= cost;
+                surplus.insert(name);
+            }
+        }
+        for name in surplus {
+            if let Some(machine) = self.machines.get_mut(&name) {
+                machine.surplus = true;
             }
         }
-        for machine in self.machines.values_mut() {
-            machine.surplus = surplus.contains(&machine.name);
+    }
+
+    /// Ordinary machines of a zone that fixed work and the reserve do not need, with how many tasks
+    /// each holds.
+    fn beyond_need(&self, zone: &str, shape: &Resources) -> Vec<(usize, String)> {
+        let mut here: Vec<(usize, usize, &Machine)> = self
+            .machines
+            .values()
+            .filter(|m| !m.spot && m.zone == *zone && self.usable(m))
+            .map(|m| (m.tasks.keys().filter(|id| self.is_fixed(id)).count(), m.tasks.len(), m))
+            .collect();
+        here.sort_by(|a, b| (b.0, b.1, &a.2.name).cmp(&(a.0, a.1, &b.2.name)));
+        let fixed: usize = here.iter().map(|(n, _, _)| n).sum();
+        let waiting: usize =
+            self.jobs.values().filter(|j| !j.spec.spot && !j.over).map(|j| j.waiting.len()).sum();
+        let mut need = (fixed + waiting) as i64 + i64::from(self.config.operator.reserve_tasks);
+        let mut beyond = Vec::new();
+        for (_, tasks, machine) in here {
+            if need <= 0 {
+                beyond.push((tasks, machine.name.clone()));
+            }
+            need -= shape.count_in(&machine.has);
         }
+        beyond
     }
 
     /// Stops one replica on a surplus machine, if a place with its image is free elsewhere. One at a
--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -12,6 +12,8 @@
 use std::collections::BTreeMap;
 use tracing::debug;
 
+const GAP: &str = "rescale gap";
+
 /// Free room per machine as a round fills it, and what is held back for critical services.
 pub struct Room {
     free: BTreeMap<String, Resources>,
@@ -66,7 +68,14 @@
                 break;
             }
             probes += 1;
-            self.consider(*uid, &order, &mut room, &mut probes);
+            self.consider(*uid, &order, false, &mut room, &mut probes);
+        }
+        // Room that no job outside the gap takes would lie idle: it goes to those inside.
+        for uid in order {
+            let in_gap = self.jobs.get(&uid).is_some_and(|j| j.waits_for == GAP && !j.waiting.is_empty());
+            if in_gap && probes < self.config.round_probes {
+                self.consider(uid, &[], true, &mut room, &mut probes);
+            }
         }
         self.round_due = if self.cursor.is_some() { 0 } else { self.now + limits::ROUND_IDLE };
     }
@@ -80,7 +89,7 @@
         }
     }
 
-    fn consider(&mut self, uid: Uid, order: &[Uid], room: &mut Room, probes: &mut usize) {
+    fn consider(&mut self, uid: Uid, order: &[Uid], leftover: bool, room: &mut Room, probes: &mut usize) {
         let Some(job) = self.jobs.get(&uid) else { return };
         if job.waiting.is_empty() {
             return;
@@ -106,10 +115,14 @@
         let running = held - self.stopping(job);
         let fresh = held == 0;
         // Width is kept without regard to the gap; growth beyond it waits for the gap to pass.
-        let target = if fresh || !self.in_gap(job) { job.unfinished() } else { job.width.max(job.minimum()) };
+        let target = if fresh || leftover || !self.in_gap(job) {
+            job.unfinished()
+        } else {
+            job.width.max(job.minimum())
+        };
         let want = target.saturating_sub(held).min(job.waiting.len() as u32);
         if want == 0 {
-            return self.wait(uid, "rescale gap");
+            return self.wait(uid, GAP);
         }
         let want = if limited { want.min(self.team_room(job)) } else { want };
         if want == 0 {
@@ -140,6 +153,9 @@
                 return;
             }
         }
+        if leftover {
+            return;
+        }
         let Some(job) = self.jobs.get(&uid) else { return };
         let held = job.places.len() as u32;
         let missing = job.minimum().saturating_sub(held).max(1).min(job.waiting.len() as u32);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -472,9 +472,13 @@
 
     /// The largest shape among critical jobs: what a reserved place must hold.
     fn critical_shape(&self) -> Option<Resources> {
-        let critical =
-            self.jobs.values().filter(|j| j.spec.priority == Priority::Critical).map(|j| j.spec.needs);
-        critical.reduce(|a, b| Resources {
+        self.largest(|j| j.spec.priority == Priority::Critical)
+    }
+
+    /// Room that holds a task of any of these jobs.
+    fn largest(&self, of: impl Fn(&Job) -> bool) -> Option<Resources> {
+        let needs = self.jobs.values().filter(|j| of(j)).map(|j| j.spec.needs);
+        needs.reduce(|a, b| Resources {
             cpus: a.cpus.max(b.cpus),
             gpus: a.gpus.max(b.gpus),
             memory: a.memory.max(b.memory),
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -90,7 +90,7 @@
 
     /// How many tasks of this size fit into `room`.
     pub fn count_in(&self, room: &Resources) -> i64 {
-        let one = |need: i64, has: i64| if need <= 0 { i64::MAX } else { (has / need).max(0) };
+        let one = |need: i64, has: i64| if need <= 0 { i64::from(u32::MAX) } else { (has / need).max(0) };
         one(self.cpus, room.cpus).min(one(self.gpus, room.gpus)).min(one(self.memory, room.memory))
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -171,20 +171,11 @@
     pub idle_s: f64,
     /// The same for a spot machine.
     pub idle_spot_s: f64,
-    /// Work that may use spot machines gets surplus ordinary ones too after waiting this long.
-    pub surplus_patience_s: f64,
 }
 
 impl Default for Operator {
     fn default() -> Self {
-        Operator {
-            rescale_gap_s: 10.0,
-            aging_s: 300.0,
-            reserve_tasks: 2,
-            idle_s: 60.0,
-            idle_spot_s: 40.0,
-            surplus_patience_s: 10.0,
-        }
+        Operator { rescale_gap_s: 10.0, aging_s: 300.0, reserve_tasks: 2, idle_s: 60.0, idle_spot_s: 40.0 }
     }
 }
 
@@ -222,7 +213,6 @@
                 }
                 "idle-s" => operator.idle_s = number,
                 "idle-spot-s" => operator.idle_spot_s = number,
-                "surplus-patience-s" => operator.surplus_patience_s = number,
                 "aging-s" => return Err(refuse(line, "`aging-s` must be above 0".into())),
                 "reserve-tasks" => {
                     return Err(refuse(line, "`reserve-tasks` must be a whole number up to 1000".into()))
