--- a/src/core/consolidate.rs
+++ b/src/core/consolidate.rs
@@ -28,7 +28,7 @@
         candidates.sort();
         let count = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
         let slots = |m: &Machine| elastic.count_in(&m.free());
-        let reserve = i64::from(self.config.operator.reserve_tasks) * count(self.config.zones.len());
+        let reserve = self.reserve_places() * count(self.config.zones.len());
         let waiting: usize =
             self.jobs.values().filter(|j| j.spec.spot && !j.over).map(|j| j.waiting.len()).sum();
         let mut free: i64 = self.machines.values().filter(|m| self.usable(m)).map(slots).sum();
@@ -63,7 +63,7 @@
         let fixed: usize = here.iter().map(|(n, _, _)| n).sum();
         let waiting: usize =
             self.jobs.values().filter(|j| !j.spec.spot && !j.over).map(|j| j.waiting.len()).sum();
-        let mut need = (fixed + waiting) as i64 + i64::from(self.config.operator.reserve_tasks);
+        let mut need = (fixed + waiting) as i64 + self.reserve_places();
         let mut beyond = Vec::new();
         for (_, tasks, machine) in here {
             if need <= 0 {
--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -368,11 +368,11 @@
         let Some(job) = self.jobs.get_mut(&uid) else { return };
         let Some(task) = job.waiting.pop_first() else { return };
         job.places.entry(task).or_default().push(machine.into());
-        let needs = job.spec.needs;
+        let (needs, image) = (job.spec.needs, job.spec.image.clone());
         if let Some(free) = room.free.get_mut(machine) {
             *free = free.minus(&needs);
         }
-        self.place_on(machine, TaskId { uid, task }, needs, attempt);
+        self.place_on(machine, TaskId { uid, task }, needs, image, attempt);
     }
 
     /// Room held back in each zone for critical services, against everyone else's tasks.
@@ -387,7 +387,7 @@
                 *reserve.spare.entry(machine.zone.clone()).or_default() += shape.count_in(free);
             }
         }
-        let kept = i64::from(self.config.operator.reserve_tasks);
+        let kept = self.reserve_places();
         reserve.spare.values_mut().for_each(|n| *n -= kept);
         reserve.shape = Some(shape);
         reserve
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -165,7 +165,7 @@
             zones.add(&p.offer.1);
             return true;
         }
-        let patient = self.now < job.arrived + limits::SPOT_PATIENCE;
+        let patient = self.now < job.arrived + limits::micros(self.config.operator.spot_patience_s);
         let mut offers = self.offers(|t| job.spec.allows_type(t), |z| zones.allows(job, z), job.spec.spot);
         offers.retain(|(_, o)| {
             self.types.get(&o.0).is_some_and(|t| needs.fits(&t.has)) && !(job.spec.spot && !o.2 && patient)
@@ -193,7 +193,7 @@
         let mut kept = BTreeSet::new();
         let Some(shape) = self.critical_shape() else { return kept };
         for zone in &self.config.zones {
-            let mut open = i64::from(self.config.operator.reserve_tasks);
+            let mut open = self.reserve_places();
             let mut here: Vec<(&Machine, i64)> = self
                 .machines
                 .values()
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -316,7 +316,7 @@
     }
 
     /// Reserves the place; the start goes out with the answer to the machine's next report.
-    fn place_on(&mut self, name: &str, id: TaskId, needs: Resources, attempt: u64) {
+    fn place_on(&mut self, name: &str, id: TaskId, needs: Resources, image: String, attempt: u64) {
         let now = self.now;
         if let Some(machine) = self.machines.get_mut(name) {
             debug!(task = %id, machine = name, attempt, "place");
@@ -326,6 +326,7 @@
                 sent: None,
                 seen: false,
                 status: TaskStatus::Fetching,
+                image,
                 since: now,
                 stopping: None,
             };
@@ -475,6 +476,14 @@
         self.largest(|j| j.spec.priority == Priority::Critical)
     }
 
+    /// Places kept free in each zone: room for the widest critical services about, spread over zones.
+    fn reserve_places(&self) -> i64 {
+        let critical = self.jobs.values().filter(|j| j.spec.priority == Priority::Critical);
+        let widest = critical.map(|j| j.spec.tasks).max().unwrap_or(0);
+        let zones = self.config.zones.len().max(1) as u32;
+        i64::from((widest * self.config.operator.reserve_services).div_ceil(zones))
+    }
+
     /// Room that holds a task of any of these jobs.
     fn largest(&self, of: impl Fn(&Job) -> bool) -> Option<Resources> {
         let needs = self.jobs.values().filter(|j| of(j)).map(|j| j.spec.needs);
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -198,6 +198,7 @@
     /// Whether a report has listed it.
     pub seen: bool,
     pub status: TaskStatus,
+    pub image: String,
     /// When this leader placed or first saw it: a shrink stops the newest.
     pub since: u64,
     /// When a stop was first asked for, and its grace.
@@ -255,6 +256,18 @@
 }
 
 impl Machine {
+    /// How long a task with this image would wait for it, in fetches: none where the image is, and
+    /// one more for every other image that is being fetched, since they share the rate.
+    pub fn fetches(&self, image: &str) -> i64 {
+        if self.images.contains(image) {
+            return 0;
+        }
+        let waiting = self.tasks.values().filter(|t| t.status == TaskStatus::Fetching);
+        let others: BTreeSet<&str> =
+            waiting.map(|t| t.image.as_str()).filter(|i| *i != image && !self.images.contains(*i)).collect();
+        1 + others.len() as i64
+    }
+
     pub fn free(&self) -> Resources {
         self.tasks.values().fold(self.has, |room, t| room.minus(&t.needs))
     }
--- a/src/core/place.rs
+++ b/src/core/place.rs
@@ -50,7 +50,7 @@
 /// not; a warm image saves the fetch; full machines are filled first so that others empty.
 pub fn cost(job: &Job, machine: &Machine, room: &Resources, zones: &ZoneCount) -> [i64; 5] {
     let kind = i64::from(job.spec.spot && !machine.spot);
-    let cold = i64::from(!machine.images.contains(&job.spec.image));
+    let cold = machine.fetches(&job.spec.image);
     let surplus = i64::from(machine.surplus);
     let left = room.minus(&job.spec.needs);
     let emptiness = left.gpus * 1000 + left.cpus;
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -127,7 +127,7 @@
                 if machine.tasks.get(&task.id).is_some_and(|t| t.status != TaskStatus::Running) {
                     debug!(task = %task.id, machine = name, "runs");
                 }
-                machine.images_changed |= machine.images.insert(image);
+                machine.images_changed |= machine.images.insert(image.clone());
             }
             match machine.tasks.get_mut(&task.id) {
                 Some(placed) if placed.attempt == task.attempt || !placed.seen => {
@@ -144,6 +144,7 @@
                         sent: None,
                         seen: true,
                         status: task.status,
+                        image,
                         since: now,
                         stopping: None,
                     };
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -115,9 +115,6 @@
 pub const LIST_PAGE: u32 = 200;
 /// Spot prices wander; the catalog is read again this often.
 pub const CATALOG_EVERY: Duration = Duration::from_secs(60);
-/// Work that may use spot machines takes an ordinary one only after waiting this long while every
-/// spot offer is refused: an ordinary machine costs several times as much.
-pub const SPOT_PATIENCE: u64 = 45_000_000;
 
 // ---- input and output ----
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -165,17 +165,27 @@
     pub rescale_gap_s: f64,
     /// Waiting time that lifts a job by one priority class.
     pub aging_s: f64,
-    /// Free places kept in each zone for tasks of critical services.
-    pub reserve_tasks: u32,
+    /// For how many critical services, each as wide as the widest there is, room is kept free.
+    pub reserve_services: u32,
     /// An ordinary machine without tasks is returned after this.
     pub idle_s: f64,
     /// The same for a spot machine.
     pub idle_spot_s: f64,
+    /// Work that may use spot machines has ordinary ones rented for it only after waiting this long
+    /// while every spot offer is refused: an ordinary machine costs several times as much.
+    pub spot_patience_s: f64,
 }
 
 impl Default for Operator {
     fn default() -> Self {
-        Operator { rescale_gap_s: 10.0, aging_s: 300.0, reserve_tasks: 2, idle_s: 60.0, idle_spot_s: 40.0 }
+        Operator {
+            rescale_gap_s: 10.0,
+            aging_s: 300.0,
+            reserve_services: 1,
+            idle_s: 25.0,
+            idle_spot_s: 30.0,
+            spot_patience_s: 10.0,
+        }
     }
 }
 
@@ -184,7 +194,7 @@
         Self::parse(&read(file)?, file)
     }
 
-    /// `((rescale-gap-s 10) (reserve-tasks 2))`: a list of keys with a number each.
+    /// `((rescale-gap-s 10) (reserve-services 2))`: a list of keys with a number each.
     pub fn parse(text: &str, file: &Path) -> Result<Self, SettingsError> {
         let refuse = |line: usize, why: String| SettingsError::Line { file: file.into(), line, why };
         let datum = lexpr::datum::from_str(text).map_err(|e| {
@@ -208,14 +218,15 @@
             match key {
                 "rescale-gap-s" => operator.rescale_gap_s = number,
                 "aging-s" if number > 0.0 => operator.aging_s = number,
-                "reserve-tasks" if number.fract() == 0.0 && number <= 1000.0 => {
-                    operator.reserve_tasks = number as u32
+                "reserve-services" if number.fract() == 0.0 && number <= 1000.0 => {
+                    operator.reserve_services = number as u32
                 }
                 "idle-s" => operator.idle_s = number,
                 "idle-spot-s" => operator.idle_spot_s = number,
+                "spot-patience-s" => operator.spot_patience_s = number,
                 "aging-s" => return Err(refuse(line, "`aging-s` must be above 0".into())),
-                "reserve-tasks" => {
-                    return Err(refuse(line, "`reserve-tasks` must be a whole number up to 1000".into()))
+                "reserve-services" => {
+                    return Err(refuse(line, "`reserve-services` must be a whole number up to 1000".into()))
                 }
                 _ => return Err(refuse(line, format!("unknown key `{key}`"))),
             }
@@ -231,12 +242,12 @@
     #[test]
     fn operator_file_names_the_line() {
         let file = Path::new("op.scm");
-        let good = Operator::parse("((rescale-gap-s 4)\n (reserve-tasks 3))", file).unwrap();
-        assert_eq!((good.rescale_gap_s, good.reserve_tasks, good.idle_s), (4.0, 3, 60.0));
+        let good = Operator::parse("((rescale-gap-s 4)\n (reserve-services 3))", file).unwrap();
+        assert_eq!((good.rescale_gap_s, good.reserve_services, good.idle_s), (4.0, 3, 25.0));
         for (text, says) in [
             ("((idle-s 4)\n (nonsense 1))", "op.scm: line 2: unknown key `nonsense`"),
             ("((idle-s -1))", "op.scm: line 1: `idle-s` must be 0 or more"),
-            ("((reserve-tasks 1.5))", "whole number"),
+            ("((reserve-services 1.5))", "whole number"),
             ("((idle-s", "line 1"),
             ("7", "expected a list"),
         ] {
