--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -257,13 +257,16 @@
     fn delete_lost(&mut self) {
         let now = self.now;
         let silent = limits::silent(self.config.workers.report_s);
-        let grace = limits::worker_lease(self.config.workers.lease_s);
-        let up: Vec<&Machine> = self.machines.values().filter(|m| m.phase == Phase::Up).collect();
+        // A machine of the last leader's that does not come to this one counts too: while it may hold
+        // anything, no task of an inherited job starts.
+        let unsettled = |m: &&Machine| m.recorded && !m.settled && m.phase == Phase::Expected;
+        let up: Vec<&Machine> =
+            self.machines.values().filter(|m| m.phase == Phase::Up || unsettled(m)).collect();
         let quiet = |m: &&&Machine| now >= m.heard + silent;
         let silent_now = up.iter().filter(quiet).count();
         let ours = silent_now > 2 && silent_now as f64 > limits::SILENT_SHARE * up.len() as f64;
         let mut back = Vec::new();
-        if !ours && now > self.started + grace {
+        if !ours && now >= self.started + silent {
             back.extend(up.iter().filter(quiet).filter(|m| !m.deleting).map(|m| m.name.clone()));
         }
         for machine in self.machines.values().filter(|m| !m.deleting) {
