--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -266,7 +266,7 @@
         let silent_now = up.iter().filter(quiet).count();
         let ours = silent_now > 2 && silent_now as f64 > limits::SILENT_SHARE * up.len() as f64;
         let mut back = Vec::new();
-        if !ours && now >= self.started + silent {
+        if !ours && now >= self.started + silent.max(limits::COMES_LATE) {
             back.extend(up.iter().filter(quiet).filter(|m| !m.deleting).map(|m| m.name.clone()));
         }
         for machine in self.machines.values().filter(|m| !m.deleting) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -494,6 +494,10 @@
         })
     }
 
+    pub fn machines_up(&self) -> u32 {
+        self.machines.values().filter(|m| m.phase == Phase::Up && !m.deleting).count() as u32
+    }
+
     /// (job, finished tasks, running tasks) for display.
     pub fn summary(&self) -> Vec<(Uid, u32, u32)> {
         let running = |job: &Job| {
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -18,6 +18,8 @@
     pub state_age: u64,
     /// Workers that checked in with this node lately.
     pub workers: u32,
+    /// Machines that a leader counts as up; not told to peers.
+    pub machines: u32,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -195,7 +197,7 @@
             campaign_due: now,
             campaigning: false,
             may_resume: true,
-            status: Status { state_age: u64::MAX, workers: 0 },
+            status: Status { state_age: u64::MAX, ..Status::default() },
             unreached_since: None,
             reached: false,
             peers_alone,
@@ -320,7 +322,11 @@
             .others()
             .filter(|i| self.fresh(*i, now) && self.peers[*i].status.workers > 0)
             .max_by_key(|i| self.peers[*i].status.workers);
-        let isolated = self.names.len() > 1 && !self.others().any(|i| self.fresh(i, now));
+        let fresh = self.others().find(|i| self.fresh(*i, now));
+        let isolated = self.names.len() > 1 && fresh.is_none();
+        // That several machines fall silent at once is our cut, not theirs; a peer should stand ready
+        // before they have given up on us and come to it.
+        let asked = asked.or(fresh.filter(|_| self.status.machines >= limits::SILENT_TOGETHER));
         self.reached |= self.status.workers > 0;
         // Before any worker has come here, the first ones may well ask a peer first.
         let unreached = self.reached && self.status.workers == 0 && (asked.is_some() || isolated);
--- a/src/leadership_tests.rs
+++ b/src/leadership_tests.rs
@@ -54,6 +54,7 @@
     /// Node cut off from peers (and users and workers), and whether from the state service too.
     cut: Option<(usize, bool)>,
     cut_until: u64,
+    workers_cut: Option<usize>,
     tokens: Vec<(u64, usize, u64)>,
     led: BTreeMap<u64, (usize, u64)>,
     led_time: u64,
@@ -72,6 +73,7 @@
             refused: None,
             cut: None,
             cut_until: 0,
+            workers_cut: None,
             tokens: Vec::new(),
             led: BTreeMap::new(),
             led_time: 0,
@@ -149,8 +151,12 @@
     }
 
     fn status(&self, node: usize) -> Status {
-        let workers = if self.cut.is_some_and(|(n, _)| n == node) { 0 } else { 3 };
-        Status { state_age: self.local(node).saturating_sub(self.nodes[node].state_answered), workers }
+        let cut = self.cut.is_some_and(|(n, _)| n == node) || self.workers_cut == Some(node);
+        // Nobody has come to a peer yet: only the leader has workers.
+        let leads = self.nodes[node].leadership.is_leader();
+        let workers = if cut || self.workers_cut.is_some() && !leads { 0 } else { 3 };
+        let state_age = self.local(node).saturating_sub(self.nodes[node].state_answered);
+        Status { state_age, workers, machines: 3 }
     }
 
     fn store(&mut self, action: Action, node: usize, sent: u64) -> StoreAnswer {
@@ -382,3 +388,13 @@
     }
     assert!(node.promises_until(now + 1) <= now + 1);
 }
+
+#[test]
+fn a_leader_that_only_the_workers_lost_hands_over_before_they_come_to_a_peer() {
+    let mut world = World::new(5);
+    world.run(8 * limits::SECOND);
+    let leader = world.leader().expect("a leader");
+    world.workers_cut = Some(leader);
+    world.run(1_500 * MS);
+    assert!(world.leader().is_some_and(|n| n != leader));
+}
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -66,6 +66,12 @@
 /// two machines) is silent: when more are, the fault may well be on our side.
 pub const SILENT_SHARE: f64 = 0.25;
 
+/// This many machines silent at the same time point to our own connection.
+pub const SILENT_TOGETHER: u32 = 3;
+/// After a change of leader, a machine may hang twice at nodes that do not answer (4 s and a pause of
+/// 1 s each, PROTOCOL) before it comes; it is not given up earlier.
+pub const COMES_LATE: u64 = 9_500_000;
+
 /// The window in which check-ins are counted to see whether workers reach a node.
 pub fn reach_window(report_s: f64) -> u64 {
     micros(report_s * 1.5) + 1_000_000
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -136,7 +136,7 @@
         return Err("wrong length");
     }
     let (token, stamp) = (head.token.get(), head.stamp.get());
-    let status = Status { state_age: head.state_age.get(), workers: head.workers.get() };
+    let status = Status { state_age: head.state_age.get(), workers: head.workers.get(), machines: 0 };
     let message = match head.kind {
         HEARTBEAT => Message::Heartbeat { token, sent: stamp },
         GRANT => Message::Grant { token, echo: stamp },
@@ -266,7 +266,7 @@
     #[test]
     fn frames_survive_the_trip_and_garbage_does_not() {
         let sender = Sender { node: 2, incarnation: 77 };
-        let status = Status { state_age: 5, workers: 9 };
+        let status = Status { state_age: 5, workers: 9, machines: 0 };
         for message in [
             Message::Heartbeat { token: 4, sent: 11 },
             Message::Grant { token: 4, echo: 11 },
--- a/src/server.rs
+++ b/src/server.rs
@@ -250,7 +250,11 @@
         while self.checkins.front().is_some_and(|at| at + window < now) {
             self.checkins.pop_front();
         }
-        Status { state_age: now.saturating_sub(self.store.answered()), workers: self.checkins.len() as u32 }
+        Status {
+            state_age: now.saturating_sub(self.store.answered()),
+            workers: self.checkins.len() as u32,
+            machines: self.core.as_ref().map_or(0, Core::machines_up),
+        }
     }
 
     fn turn(&mut self, batch: Vec<Event>) {
@@ -315,7 +319,11 @@
         let leads = self.leadership.authority(now).is_some() && self.core.is_some();
         let reply = match (leads, worker::report(checkin)) {
             (_, None) => CheckinReply::Malformed,
-            (false, _) => CheckinReply::Elsewhere(self.leadership.leader_name(now).map(str::to_string)),
+            (false, Some(report)) => {
+                let leader = self.leadership.leader_name(now).map(str::to_string);
+                debug!(machine = report.machine, leader, "check-in sent elsewhere");
+                CheckinReply::Elsewhere(leader)
+            }
             (true, Some(report)) => {
                 self.next_reply += 1;
                 self.replies.insert(self.next_reply, to);
