A caretaker keeps workers alive when the leader crashes inside a state outage

Cause: a takeover is a transaction, so an outage of 28 s with a crash inside it outlasted every worker lease (10 and 20 s) and killed all tasks. A majority's grants now let one node answer check-ins under the last token, without orders. A leader without a majority's grants trusts no lease to end. The simulated network checks that a leader beside a caretaker knows it may be one of two.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -166,6 +166,8 @@
     attempts: u64,
     /// All machines of earlier leaders are accounted for.
     settled: bool,
+    /// Until when somebody else may have kept workers alive under a token of the past.
+    kept_alive: u64,
     effects: Vec<Effect>,
 }
 
@@ -185,10 +187,16 @@
             news: true,
             attempts: 0,
             settled: false,
+            kept_alive: now,
             effects: Vec::new(),
         }
     }
 
+    /// No worker lease ends earlier than a full one after this time.
+    pub fn kept_alive_until(&mut self, at: u64) {
+        self.kept_alive = self.kept_alive.max(at);
+    }
+
     /// Takes a batch, decides within the budget, and says what is to be done.
     pub fn step(&mut self, now: u64, batch: Vec<Command>) -> Vec<Effect> {
         self.now = self.now.max(now);
@@ -398,12 +406,13 @@
     fn expire(&mut self) {
         let lease = limits::worker_lease(self.config.workers.lease_s);
         let now = self.now;
+        let alive = self.started.max(self.kept_alive);
         let ended: Vec<String> = self
             .machines
             .values()
             // A worker first heard of may have begun its lease as late as then: without its report in the
             // sum, every machine younger than this leader was given up the moment it came up.
-            .filter(|m| m.phase != Phase::Lost && now >= m.answered.max(m.heard).max(self.started) + lease)
+            .filter(|m| m.phase != Phase::Lost && now >= m.answered.max(m.heard).max(alive) + lease)
             .filter(|m| m.phase == Phase::Up || !m.tasks.is_empty() || (m.recorded && !m.settled))
             .map(|m| m.name.clone())
             .collect();
@@ -418,7 +427,7 @@
         }
         if !self.settled && self.loaded {
             let open = |m: &&Machine| m.recorded && !m.settled;
-            self.settled = now >= self.started + lease || self.machines.values().filter(open).count() == 0;
+            self.settled = now >= alive + lease || self.machines.values().filter(open).count() == 0;
             if self.settled {
                 info!(after_ms = (now - self.started) / 1000, "all machines of earlier leaders settled");
                 self.news = true;
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -113,6 +113,11 @@
         token: u64,
         over_lock: bool,
     },
+    /// In a state outage without a leader: keeps workers alive under the last token, by grants of a
+    /// majority, and gives no orders.
+    Caretaker {
+        token: u64,
+    },
     Leader {
         token: u64,
         permit: Option<u64>,
@@ -153,6 +158,7 @@
     unreached_since: Option<u64>,
     /// A worker has checked in with this leader since it was elected.
     reached: bool,
+    alone_until: u64,
     peers_alone: u64,
     rng: SmallRng,
 }
@@ -200,6 +206,7 @@
             status: Status { state_age: u64::MAX, ..Status::default() },
             unreached_since: None,
             reached: false,
+            alone_until: now,
             peers_alone,
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -236,6 +243,28 @@
         (now + limits::GUARD < until).then_some(*token)
     }
 
+    /// The token under which this node may keep workers alive, without orders.
+    pub fn caretaker(&self, now: u64) -> Option<u64> {
+        let Role::Caretaker { token } = self.role else { return None };
+        (now + limits::GUARD < self.care_until(now)).then_some(token)
+    }
+
+    fn care_until(&self, now: u64) -> u64 {
+        let granted = self.majority_until(!self.amnesiac(now), |p| p.granted).min(now + limits::GRANT);
+        granted.max(self.promises_until(now))
+    }
+
+    /// The last time at which a caretaker may have kept workers alive beside this leader: until now
+    /// while it has no majority's grants, and until it got them back otherwise.
+    pub fn alone_until(&self, now: u64) -> u64 {
+        let backed = self.majority_until(!self.amnesiac(now), |p| p.granted) > now;
+        if backed {
+            self.alone_until
+        } else {
+            now
+        }
+    }
+
     /// All members attest that they cannot commit either, so no cancellation can be passing us by.
     fn all_without_state(&self, now: u64) -> bool {
         self.peers
@@ -285,7 +314,10 @@
         }
         if now >= self.heartbeat_due {
             self.heartbeat_due = now + limits::HEARTBEAT;
-            let token = if let Role::Leader { token, .. } = self.role { token } else { 0 };
+            let token = match self.role {
+                Role::Leader { token, .. } | Role::Caretaker { token } => token,
+                _ => 0,
+            };
             let beat = Message::Heartbeat { token, sent: now };
             actions.extend(self.others().map(|i| Action::Send(i, beat)));
         }
@@ -396,12 +428,21 @@
         if now >= self.probe_due && !self.probing {
             self.probe(now, if calm { limits::PROBE_CALM } else { limits::PROBE_LEADERLESS }, actions);
         }
+        // Without a fresh reading there is nothing to condition a transaction on.
+        let readable = self.probed && now < self.probed_at + limits::PROBE_CALM && !self.locked;
+        if let Role::Caretaker { .. } = self.role {
+            if self.caretaker(now).is_some() && !readable && !self.a_peer_is_served(now) {
+                return;
+            }
+            info!("caretaking ends");
+            self.role = Role::Follower;
+            self.campaign_due = now;
+        }
         if matches!(self.role, Role::Taking { .. }) || calm || now < self.campaign_due {
             return;
         }
-        // Without a fresh reading there is nothing to condition a transaction on.
-        let readable = self.probed && now < self.probed_at + limits::PROBE_CALM && !self.locked;
-        if !readable || self.grant_out.is_some_and(|(_, until)| now < until) {
+        let outage = self.state_lost() && self.token > 0 && !self.a_peer_is_served(now);
+        if !(readable || outage) || self.grant_out.is_some_and(|(_, until)| now < until) {
             return;
         }
         if self.promise_out.is_some_and(|(to, until)| to != self.me && now < until) {
@@ -418,6 +459,14 @@
         self.try_take(now, actions);
     }
 
+    fn state_lost(&self) -> bool {
+        self.status.state_age >= limits::STATE_LOST
+    }
+
+    fn a_peer_is_served(&self, now: u64) -> bool {
+        self.others().any(|i| self.fresh(i, now) && self.peers[i].status.state_age < limits::STATE_LOST)
+    }
+
     fn promises_until(&self, now: u64) -> u64 {
         // Our own promise counts only while it binds us too.
         let own = self.promise_out.filter(|(to, until)| *to == self.me && now < *until);
@@ -425,12 +474,25 @@
     }
 
     fn try_take(&mut self, now: u64, actions: &mut Vec<Action>) {
-        if !self.campaigning || !matches!(self.role, Role::Follower) || self.locked {
+        if !self.campaigning || !matches!(self.role, Role::Follower) {
             return;
         }
         if self.promises_until(now) <= now + limits::GUARD {
             return;
         }
+        if self.state_lost() {
+            // Both proofs of any leader's cannot be seen to be gone without the state service, but a
+            // leader that lives on by its state lease alone counts on no worker lease ending meanwhile.
+            info!(token = self.token, "no leader and no state service: keeping workers alive");
+            self.campaigning = false;
+            self.role = Role::Caretaker { token: self.token };
+            self.peers.iter_mut().for_each(|p| p.granted = 0);
+            self.heartbeat_due = now;
+            return;
+        }
+        if self.locked {
+            return;
+        }
         let entry = self.epoch.as_ref().map_or(0, |(_, entry)| *entry);
         self.take(entry, false, actions);
     }
@@ -455,8 +517,12 @@
             Message::Heartbeat { token: 0, .. } => {}
             Message::Heartbeat { token, sent } => self.heartbeat(now, from, token, sent, &mut actions),
             Message::Grant { token, echo } => {
-                let current = matches!(self.role, Role::Leader { token: own, .. } if own == token);
+                let current = match self.role {
+                    Role::Leader { token: own, .. } | Role::Caretaker { token: own } => own == token,
+                    _ => false,
+                };
                 if current && echo <= now {
+                    self.alone_until = self.alone_until(now);
                     let until = echo + shortened(limits::GRANT);
                     self.peers[from].granted = self.peers[from].granted.max(until);
                 }
@@ -507,6 +573,9 @@
             return;
         }
         actions.extend(self.seen_token(token, now));
+        if let Role::Caretaker { .. } = self.role {
+            self.role = Role::Follower;
+        }
         if self.leader.is_none_or(|(node, t, _)| (node, t) != (from, token)) {
             self.leader_reached = false;
         }
@@ -556,6 +625,7 @@
                 self.peers.iter_mut().for_each(|p| (p.granted, p.promised) = (0, 0));
                 self.may_resume = false;
                 self.reached = false;
+                self.alone_until = now;
                 self.grant_out = None;
                 self.leader = None;
                 self.renew_due = now + limits::RENEW;
--- a/src/leadership_tests.rs
+++ b/src/leadership_tests.rs
@@ -58,6 +58,7 @@
     tokens: Vec<(u64, usize, u64)>,
     led: BTreeMap<u64, (usize, u64)>,
     led_time: u64,
+    kept_time: u64,
 }
 
 impl World {
@@ -77,6 +78,7 @@
             tokens: Vec::new(),
             led: BTreeMap::new(),
             led_time: 0,
+            kept_time: 0,
         };
         for i in 0..3 {
             let node = world.fresh(i, 1);
@@ -260,6 +262,18 @@
             .filter_map(|n| Some((n, self.nodes[n].leadership.authority(self.local(n))?)))
             .collect();
         assert!(acting.len() <= 1, "two leaders at {}: {acting:?}", self.now);
+        let keeping: Vec<usize> = (0..3)
+            .filter(|n| self.nodes[*n].down_until.is_none())
+            .filter(|n| self.nodes[*n].leadership.caretaker(self.local(*n)).is_some())
+            .collect();
+        assert!(keeping.len() <= 1, "two caretakers at {}: {keeping:?}", self.now);
+        if let (Some((leader, _)), Some(keeper)) = (acting.first(), keeping.first()) {
+            // A leader beside a caretaker must know that it may be one of two.
+            let now = self.local(*leader);
+            let alone = self.nodes[*leader].leadership.alone_until(now);
+            assert!(alone >= now, "leader {leader} trusts leases beside caretaker {keeper} at {}", self.now);
+        }
+        self.kept_time += keeping.len() as u64;
         if let Some((node, token)) = acting.first() {
             self.led_time += 1;
             let life = self.nodes[*node].life;
@@ -398,3 +412,23 @@
     world.run(1_500 * MS);
     assert!(world.leader().is_some_and(|n| n != leader));
 }
+
+#[test]
+fn a_crash_inside_a_state_outage_leaves_a_caretaker() {
+    for seed in 0..20 {
+        let mut world = World::new(seed);
+        world.run(5 * limits::SECOND);
+        world.state_down = true;
+        world.run(2 * limits::SECOND);
+        let leader = world.leader().expect("a leader");
+        world.crash(leader, 3 * limits::SECOND);
+        world.run(6 * limits::SECOND);
+        let before = world.kept_time;
+        world.run(8 * limits::SECOND);
+        assert!(world.leader().is_none());
+        assert!(world.kept_time - before > 700, "seed {seed}: kept {} steps", world.kept_time - before);
+        world.state_down = false;
+        world.run(6 * limits::SECOND);
+        assert!(world.leader().is_some(), "seed {seed}: nobody leads after the outage");
+    }
+}
--- a/src/server.rs
+++ b/src/server.rs
@@ -320,6 +320,14 @@
         let reply = match (leads, worker::report(checkin)) {
             (_, None) => CheckinReply::Malformed,
             (false, Some(report)) => {
+                if let Some(helm) = self.leadership.caretaker(now) {
+                    // The worker's lease runs on; there is nobody to say what it should do.
+                    let _ = to.send(CheckinReply::Orders(CheckinAnswer { helm, signals: Vec::new() }));
+                    return;
+                }
+                // A node that has forgotten everything learns the last token from the workers.
+                let actions = self.leadership.seen_token(report.token, now);
+                self.act(actions);
                 let leader = self.leadership.leader_name(now).map(str::to_string);
                 debug!(machine = report.machine, leader, "check-in sent elsewhere");
                 CheckinReply::Elsewhere(leader)
@@ -337,6 +345,7 @@
 
     fn step(&mut self, now: u64, commands: Vec<Command>) {
         let Some(core) = &mut self.core else { return };
+        core.kept_alive_until(self.leadership.alone_until(now));
         let effects = core.step(now, commands);
         if now >= self.summary_due {
             self.summary_due = now + limits::SECOND;
