--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -159,7 +159,11 @@
         let Some(job) = self.jobs.get(&uid) else { return };
         let held = job.places.len() as u32;
         let missing = job.minimum().saturating_sub(held).max(1).min(job.waiting.len() as u32);
-        self.shrink_for(uid, missing, order, room, false, probes);
+        let service = job.spec.kind == Kind::Service;
+        if !self.shrink_for(uid, missing, order, room, false, probes) && service && missing > 1 {
+            // Its replicas serve each by itself: one is better than none.
+            self.shrink_for(uid, 1, order, room, false, probes);
+        }
     }
 
     /// A critical replica that would wait for its image is better off where the image is, if a lower
@@ -277,10 +281,63 @@
             self.wait(uid, "stops under way");
             return true;
         }
-        let mut stops: Vec<(String, TaskId)> = Vec::new();
-        'jobs: for victim in order.iter().rev().filter_map(|v| self.jobs.get(v)) {
+        // A critical job that cannot start goes on where the design stops: jobs inside the gap yield too,
+        // and then jobs below their minimum. A swarm of lower jobs pinned at one task each would
+        // otherwise keep it out until a machine has booted.
+        let stages: &[(bool, bool)] = match job.spec.priority {
+            Priority::Critical if !warm => &[(true, true), (false, true), (false, false)],
+            _ => &[(true, true)],
+        };
+        let chosen = stages.iter().find_map(|(gap, minimum)| {
+            let mut soon = Room { free: soon.free.clone() };
+            let stops = self.victims(job, missing, order, &mut soon, (*gap, *minimum, warm), probes);
+            let targets = self.find(job, missing, &soon, warm, probes);
+            (targets.len() as u32 >= missing).then_some((stops, targets))
+        });
+        let Some((mut stops, targets)) = chosen else {
+            if !warm {
+                self.wait(uid, "no free slot, and lower jobs cannot yield its minimum");
+            }
+            return false;
+        };
+        let needs = job.spec.needs;
+        // Stops on machines that the newcomer ends up not using would be for nothing.
+        stops.retain(|(name, _)| targets.contains(name));
+        for machine in &targets {
+            if let Some(free) = room.free.get_mut(machine) {
+                *free = free.minus(&needs);
+            }
+        }
+        for (machine, id) in stops {
+            debug!(task = %id, machine, newcomer = %uid, "shrink");
+            let now = self.now;
+            let grace = self.jobs.get(&id.uid).map_or(0.0, |j| j.spec.save_s);
+            if let Some(victim) = self.jobs.get_mut(&id.uid) {
+                victim.rescaled = now;
+                victim.width = victim.width.saturating_sub(1).max(victim.minimum());
+            }
+            self.stop(&machine, id, grace);
+        }
+        self.wait(uid, "stops under way");
+        true
+    }
+
+    /// Tasks of lower jobs to stop, lowest job first and its newest task first, until `missing` places
+    /// are found. `gap`, `minimum`: whether the rescale gap and the victims' minimum protect them;
+    /// `warm`: only where the newcomer's image is.
+    fn victims(
+        &self,
+        job: &Job,
+        missing: u32,
+        order: &[Uid],
+        soon: &mut Room,
+        (gap, minimum, warm): (bool, bool, bool),
+        probes: &mut usize,
+    ) -> Vec<(String, TaskId)> {
+        let mut stops = Vec::new();
+        for victim in order.iter().rev().filter_map(|v| self.jobs.get(v)) {
             *probes += 1;
-            if self.in_gap(victim) || !self.may_preempt(job, victim) {
+            if gap && self.in_gap(victim) || !self.may_preempt(job, victim) {
                 continue;
             }
             let mut running: Vec<_> = victim
@@ -294,7 +351,8 @@
                 })
                 .collect();
             running.sort();
-            while running.len() as u32 > victim.minimum() {
+            let floor = if minimum { victim.minimum() } else { 0 };
+            while running.len() as u32 > floor {
                 let Some((_, id, name)) = running.pop() else { break };
                 *probes += 1;
                 let Some(free) = soon.free.get_mut(name) else { continue };
@@ -305,38 +363,12 @@
                 }
                 *free = free.plus(&victim.spec.needs);
                 stops.push((name.clone(), id));
-                if self.find(job, missing, &soon, warm, probes).len() as u32 >= missing {
-                    break 'jobs;
+                if self.find(job, missing, soon, warm, probes).len() as u32 >= missing {
+                    return stops;
                 }
             }
         }
-        let targets = self.find(job, missing, &soon, warm, probes);
-        if (targets.len() as u32) < missing {
-            if !warm {
-                self.wait(uid, "no free slot, and lower jobs cannot yield its minimum");
-            }
-            return false;
-        }
-        let needs = job.spec.needs;
-        // Stops on machines that the newcomer ends up not using would be for nothing.
-        stops.retain(|(name, _)| targets.contains(name));
-        for machine in &targets {
-            if let Some(free) = room.free.get_mut(machine) {
-                *free = free.minus(&needs);
-            }
-        }
-        for (machine, id) in stops {
-            debug!(task = %id, machine, newcomer = %uid, "shrink");
-            let now = self.now;
-            let grace = self.jobs.get(&id.uid).map_or(0.0, |j| j.spec.save_s);
-            if let Some(victim) = self.jobs.get_mut(&id.uid) {
-                victim.rescaled = now;
-                victim.width = victim.width.saturating_sub(1).max(victim.minimum());
-            }
-            self.stop(&machine, id, grace);
-        }
-        self.wait(uid, "stops under way");
-        true
+        stops
     }
 
     /// PROTOCOL, Preemption: higher over lower priority; or a team inside its guarantee over what
