--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -23,7 +23,9 @@
     /// Aged rank: the priority class plus the share of a class that waiting has earned, in thousandths.
     pub fn rank(&self, job: &Job) -> u64 {
         let class = job.spec.priority as u64 * 1000;
-        if job.places.is_empty() {
+        // A job short of its width waits too: were only jobs without any task to age, every newcomer
+        // would pass the earlier ones that still grow.
+        if !job.waiting.is_empty() {
             let aging = limits::micros(self.config.operator.aging_s).max(1);
             class + (self.now.saturating_sub(job.arrived) * 1000 / aging).min(2_999)
         } else {
