After a takeover only machines that a job may use hold it back

Cause: services waited for spot machines that had died with the last leader, though none of their tasks can be there.

--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -99,8 +99,9 @@
         if job.paused_until > self.now {
             return self.wait(uid, "its tasks failed");
         }
-        // A task of an earlier leader's may be on a machine that has not reported yet.
-        if job.inherited && !self.all_settled() {
+        // A task of an earlier leader's may be on a machine that has not reported yet, if it is one that
+        // the job may use at all.
+        if job.inherited && !self.settled_for(job) {
             return self.wait(uid, "machines of the last leader have not reported");
         }
         let limited = self.team_limited(&job.spec.team);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -403,6 +403,11 @@
         self.settled
     }
 
+    /// The same for the machines that the job may have been started on.
+    pub fn settled_for(&self, job: &Job) -> bool {
+        self.settled || !self.machines.values().any(|m| m.recorded && !m.settled && place::allowed(job, m))
+    }
+
     fn expire(&mut self) {
         let lease = limits::worker_lease(self.config.workers.lease_s);
         let now = self.now;
