--- a/src/api.rs
+++ b/src/api.rs
@@ -302,6 +302,20 @@
     answer(api.checkin(body).await)
 }
 
+/// For operators: who leads, the queue with the reason each job waits, machines, recent decisions.
+#[handler]
+async fn get_overview(Data(api): Shared<'_>) -> Response {
+    let (to, view) = oneshot::channel();
+    if api.events.try_send(Event::Overview(to)).is_ok() {
+        if let Ok(Ok(view)) = tokio::time::timeout(limits::CHECKIN_TIMEOUT, view).await {
+            if let Ok(text) = serde_json::to_string_pretty(&view) {
+                return Response::builder().content_type("application/json").body(text);
+            }
+        }
+    }
+    Refusal::Later("too many events at once".into()).into()
+}
+
 #[handler]
 fn get_health(Data(api): Shared<'_>) -> Response {
     if api.healthy.load(Ordering::Relaxed) {
@@ -318,6 +332,7 @@
         .at("/submissions/:uid/withdraw", post(post_withdrawal))
         .at("/checkin", post(post_checkin))
         .at("/healthz", get(get_health))
+        .at("/overview", get(get_overview))
         .data(api)
         .catch_all_error(|e: poem::Error| async move {
             error(e.status(), e.status().canonical_reason().unwrap_or("error"))
--- a/src/core/consolidate.rs
+++ b/src/core/consolidate.rs
@@ -101,6 +101,7 @@
         });
         if let Some((machine, id)) = found {
             info!(task = %id, machine, "moving a replica off a surplus machine");
+            self.decided(format!("move {id} off {machine}"));
             self.fleet.moved = self.now;
             let now = self.now;
             if let Some(job) = self.jobs.get_mut(&id.uid) {
--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -313,6 +313,7 @@
         }
         for (machine, id) in stops {
             debug!(task = %id, machine, newcomer = %uid, "shrink");
+            self.decided(format!("stop {id} on {machine} for {uid}"));
             let now = self.now;
             let grace = self.jobs.get(&id.uid).map_or(0.0, |j| j.spec.save_s);
             if let Some(victim) = self.jobs.get_mut(&id.uid) {
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -47,6 +47,7 @@
             return;
         }
         self.fleet.due = self.now + limits::FLEET_ROUND;
+        self.account();
         self.delete_lost();
         // Before the machines of the last leader are known, every one of them would look missing.
         if self.settled && !self.types.is_empty() {
@@ -93,6 +94,8 @@
             self.fleet.requests += 1;
             let request = self.fleet.requests;
             info!(request, machine_type = offer.0, zone = offer.1, spot = offer.2, count, "rent");
+            let kind = if offer.2 { "spot" } else { "ordinary" };
+            self.decided(format!("rent {count} {kind} {} in {}", offer.0, offer.1));
             self.fleet.renting.insert(request, (offer.clone(), count));
             let (machine_type, zone, spot) = offer;
             self.effects.push(Effect::Rent { request, machine_type, zone, spot, count });
@@ -285,6 +288,7 @@
                     info!(machine = name, why, "return");
                     machine.deleting = true;
                 }
+                self.decided(format!("return {name}: {why}"));
             }
             self.effects.push(Effect::Delete(chunk.to_vec()));
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 pub mod elastic;
 pub mod fleet;
 pub mod model;
+pub mod overview;
 pub mod place;
 pub mod reports;
 
@@ -159,6 +160,7 @@
     pub machines: BTreeMap<String, Machine>,
     pub types: BTreeMap<String, MachineType>,
     pub fleet: Fleet,
+    ledger: overview::Ledger,
     /// Where the last round of decisions stopped.
     cursor: Option<Uid>,
     round_due: u64,
@@ -182,6 +184,7 @@
             machines: BTreeMap::new(),
             types: BTreeMap::new(),
             fleet: Fleet::new(now),
+            ledger: overview::Ledger::default(),
             cursor: None,
             round_due: 0,
             news: true,
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -122,6 +122,14 @@
 /// Spot prices wander; the catalog is read again this often.
 pub const CATALOG_EVERY: Duration = Duration::from_secs(60);
 
+// ---- operators ----
+
+/// Usage per job is written to the log this often.
+pub const USAGE_EVERY: u64 = 60_000_000;
+/// Recent decisions kept for the overview, and jobs and machines shown in it.
+pub const DECISIONS_KEPT: usize = 50;
+pub const OVERVIEW_LINES: usize = 500;
+
 // ---- input and output ----
 
 /// Request bodies (PROTOCOL: 64 KiB).
--- a/src/server.rs
+++ b/src/server.rs
@@ -38,7 +38,18 @@
     Malformed,
 }
 
+/// Who leads, and what the leader sees; empty on the others.
+#[derive(serde::Serialize)]
+pub struct NodeView {
+    pub node: String,
+    pub leader: Option<String>,
+    pub token: u64,
+    #[serde(flatten)]
+    pub core: Option<crate::core::overview::Overview>,
+}
+
 pub enum Event {
+    Overview(oneshot::Sender<NodeView>),
     Checkin(Checkin, oneshot::Sender<CheckinReply>),
     Peer(Received),
     Store(StoreAnswer),
@@ -264,6 +275,18 @@
         for event in batch {
             match event {
                 Event::Checkin(checkin, to) => checkins.push((checkin, to)),
+                Event::Overview(to) => {
+                    let node = self.settings.node_name.clone();
+                    let leads = self.leadership.is_leader();
+                    let leader = self.leadership.leader_name(now).map(str::to_string);
+                    let view = NodeView {
+                        leader: if leads { Some(node.clone()) } else { leader },
+                        node,
+                        token: self.config.token,
+                        core: self.core.as_ref().map(Core::overview),
+                    };
+                    let _ = to.send(view);
+                }
                 Event::Peer(Received { from, payload: Payload::Leadership(status, message) }) => {
                     let actions = self.leadership.message(now, from, status, message);
                     self.act(actions);
@@ -457,7 +480,9 @@
     fn deposed(&mut self) {
         self.leading.drain(..).for_each(|task| task.abort());
         self.cloud_queue = None;
-        self.core = None;
+        if let Some(mut core) = self.core.take() {
+            core.write_usage();
+        }
         self.config.token = 0;
         for (_, to) in std::mem::take(&mut self.replies) {
             let _ = to.send(CheckinReply::Elsewhere(None));
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -154,6 +154,18 @@
 
         assert_eq!(submit("job-000900", "service", 2).await.0, 201);
         user.wait_for("job-000900", "running").await;
+        let mut leaders = 0;
+        for node in 0..3 {
+            let (_, view) = user.ask(node, "GET", "/overview", String::new()).await.unwrap();
+            leaders += usize::from(view["leader"] == view["node"]);
+            if view["leader"] == view["node"] {
+                let listed = view["jobs"].as_array().unwrap().iter();
+                let placed: Vec<_> = listed.filter(|j| j["job"] == "job-000900").collect();
+                assert_eq!(placed[0]["placed"], 2, "{view}");
+                assert!(!view["decisions"].as_array().unwrap().is_empty());
+            }
+        }
+        assert_eq!(leaders, 1);
         nodes[0].kill();
         assert_eq!(submit("job-000002", "sweep", 3).await.0, 201);
         user.wait_for("job-000002", "done").await;
