Every job ages from its arrival, never above critical; the elastic pass against a plain model

Cause, found by the model: an array short of its width had aged above an earlier one that had all, so the earlier one was shrunk first.

--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -20,17 +20,18 @@
 }
 
 impl Core {
-    /// Aged rank: the priority class plus the share of a class that waiting has earned, in thousandths.
+    /// Aged rank: the priority class plus the share of a class that its age has earned, in thousandths.
+    /// Every job ages from its arrival: were only waiting ones to age, a newcomer would pass earlier jobs
+    /// that still grow, and a job short of its width would yield after an earlier one that has all.
     pub fn rank(&self, job: &Job) -> u64 {
+        let aging = limits::micros(self.config.operator.aging_s).max(1);
+        let age = self.now.saturating_sub(job.arrived);
         let class = job.spec.priority as u64 * 1000;
-        // A job short of its width waits too: were only jobs without any task to age, every newcomer
-        // would pass the earlier ones that still grow.
-        if !job.waiting.is_empty() {
-            let aging = limits::micros(self.config.operator.aging_s).max(1);
-            class + (self.now.saturating_sub(job.arrived) * 1000 / aging).min(2_999)
-        } else {
-            class
+        if job.spec.priority == Priority::Critical {
+            return class;
         }
+        // Age never lifts anybody above the critical services.
+        (class + age * 1000 / aging).min(Priority::Critical as u64 * 1000 - 1)
     }
 
     fn in_gap(&self, job: &Job) -> bool {
--- /dev/null
+++ b/tests/elastic_model.rs
@@ -0,0 +1,218 @@
+//! The elastic pass against a slow plain model of DESIGN's text, on equal one-task machines.
+
+use dockpier::core::model::*;
+use dockpier::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob};
+use dockpier::limits::{self, SECOND};
+use dockpier::settings::{Operator, Team, Workers};
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+fn spec(uid: u64, kind: Kind, priority: Priority, tasks: u32) -> JobSpec {
+    JobSpec {
+        uid: Uid(uid),
+        class: "c".into(),
+        team: "t".into(),
+        kind,
+        priority,
+        tasks,
+        needs: Resources::needed(1.0, 1.0, 1.0),
+        image: "i".into(),
+        image_gb: 0.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate_s: 60.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+struct Bed {
+    core: Core,
+    now: u64,
+    seq: u64,
+    machines: usize,
+    running: BTreeMap<String, BTreeMap<TaskId, u64>>,
+}
+
+impl Bed {
+    fn new(machines: usize, gap_s: f64) -> Bed {
+        let config = Config {
+            token: 1,
+            operator: Operator { rescale_gap_s: gap_s, ..Operator::default() },
+            workers: Workers { report_s: 1.0, lease_s: 10.0, cancel_s: 40.0 },
+            teams: vec![Team { name: "t".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 }],
+            zones: vec!["a".into()],
+            list_lag_s: 3.0,
+            round_probes: limits::ROUND_PROBES,
+        };
+        let mut bed =
+            Bed { core: Core::new(config, SECOND), now: SECOND, seq: 0, machines, running: BTreeMap::new() };
+        let has = Resources::offered(1.0, 1.0, 1.0);
+        let zones = vec!["a".into()];
+        let t = MachineType { name: "m".into(), has, price: 1.0, spot_price: None, boot_s: 60.0, zones };
+        bed.step(vec![Command::Types(vec![t]), Command::Load { jobs: vec![], machines: vec![] }]);
+        bed.report();
+        bed.report();
+        bed
+    }
+
+    fn step(&mut self, batch: Vec<Command>) -> Vec<Effect> {
+        self.now += 100_000;
+        let effects = self.core.step(self.now, batch);
+        let recorded: Vec<Command> = effects
+            .iter()
+            .filter_map(|e| match e {
+                Effect::Record(m) => {
+                    Some(Command::Recorded { machine: m.name.clone(), outcome: Outcome::Done })
+                }
+                _ => None,
+            })
+            .collect();
+        if !recorded.is_empty() {
+            self.step(recorded);
+        }
+        effects
+    }
+
+    /// Every worker reports and carries out what it is told.
+    fn report(&mut self) {
+        self.seq += 1;
+        for i in 0..self.machines {
+            let machine = format!("m-{i:06}");
+            let listed = self.running.entry(machine.clone()).or_default();
+            let tasks = listed
+                .iter()
+                .map(|(id, attempt)| ReportedTask { id: *id, attempt: *attempt, status: TaskStatus::Running })
+                .collect();
+            let report = Report {
+                machine: machine.clone(),
+                address: String::new(),
+                machine_type: "m".into(),
+                zone: "a".into(),
+                spot: false,
+                session: 1,
+                seq: self.seq,
+                token: 1,
+                notice_s: None,
+                tasks,
+            };
+            for effect in self.step(vec![Command::Checkin { reply: 1, report }]) {
+                let Effect::Answer { orders, .. } = effect else { continue };
+                let running = self.running.get_mut(&machine).unwrap();
+                for order in orders {
+                    match order {
+                        Order::Start { id, attempt } => {
+                            running.insert(id, attempt);
+                        }
+                        Order::Stop { id, .. } => {
+                            running.remove(&id);
+                        }
+                        Order::Forget { .. } => {}
+                    }
+                }
+            }
+        }
+    }
+
+    fn submit(&mut self, spec: JobSpec) {
+        let entry = spec.uid.0;
+        self.step(vec![Command::JobAdded(StoredJob { spec, entry, done: BTreeSet::new() })]);
+        (0..3).for_each(|_| self.report());
+    }
+
+    fn width(&self, uid: u64) -> u32 {
+        self.running.values().flat_map(|t| t.keys()).filter(|id| id.uid == Uid(uid)).count() as u32
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    /// Lower arrays fill up in order of arrival; then a gang of a higher class comes.
+    #[test]
+    fn admission_and_shrinking_follow_the_plain_model(
+        machines in 1usize..10,
+        arrays in prop::collection::vec(1u32..6, 0..4),
+        gang in 1u32..8,
+    ) {
+        let mut bed = Bed::new(machines, 0.0);
+        let mut free = machines as u32;
+        let mut widths = Vec::new();
+        for (i, tasks) in arrays.iter().enumerate() {
+            bed.submit(spec(i as u64 + 1, Kind::Array, Priority::Low, *tasks));
+            let width = free.min(*tasks);
+            free -= width;
+            widths.push(width);
+            prop_assert_eq!(bed.width(i as u64 + 1), width, "array {} of {:?}", i, arrays);
+        }
+        bed.submit(spec(99, Kind::Gang, Priority::High, gang));
+        let can_yield: u32 = widths.iter().map(|w| w.saturating_sub(1)).sum();
+        let starts = free + can_yield >= gang;
+        let mut missing = if starts { gang.saturating_sub(free) } else { 0 };
+        // The latest job yields first, and each keeps its minimum.
+        for width in widths.iter_mut().rev() {
+            let taken = missing.min(width.saturating_sub(1));
+            *width -= taken;
+            missing -= taken;
+        }
+        prop_assert_eq!(bed.width(99), if starts { gang } else { 0 });
+        for (i, width) in widths.iter().enumerate() {
+            prop_assert_eq!(bed.width(i as u64 + 1), *width, "array {} of {:?}, gang {}", i, arrays, gang);
+        }
+    }
+}
+
+#[test]
+fn the_gap_protects_a_job_that_has_just_been_rescaled() {
+    let mut bed = Bed::new(4, 10.0);
+    bed.submit(spec(1, Kind::Array, Priority::Low, 4));
+    assert_eq!(bed.width(1), 4);
+    bed.submit(spec(2, Kind::Gang, Priority::High, 2));
+    assert_eq!((bed.width(1), bed.width(2)), (4, 0), "inside the gap nobody shrinks");
+    while bed.now < 15 * SECOND {
+        bed.report();
+    }
+    assert_eq!((bed.width(1), bed.width(2)), (2, 2), "after it the newcomer gets its minimum");
+}
+
+#[test]
+fn a_critical_replica_starts_though_every_array_is_at_its_minimum() {
+    let mut bed = Bed::new(2, 10.0);
+    bed.submit(spec(1, Kind::Array, Priority::Low, 1));
+    bed.submit(spec(2, Kind::Array, Priority::Low, 1));
+    bed.submit(spec(3, Kind::Service, Priority::Critical, 1));
+    assert_eq!((bed.width(1), bed.width(2), bed.width(3)), (1, 0, 1));
+}
+
+#[test]
+fn a_waiting_job_that_aged_passes_a_newer_one_of_a_higher_class() {
+    let mut bed = Bed::new(1, 0.0);
+    bed.submit(spec(1, Kind::Array, Priority::Normal, 1));
+    bed.submit(spec(2, Kind::Array, Priority::Low, 1));
+    let aging = limits::micros(Operator::default().aging_s);
+    while bed.now < SECOND + aging + 10 * SECOND {
+        bed.report();
+    }
+    bed.submit(spec(3, Kind::Array, Priority::Normal, 1));
+    bed.step(vec![Command::JobRemoved(Uid(1))]);
+    (0..3).for_each(|_| bed.report());
+    assert_eq!((bed.width(2), bed.width(3)), (1, 0));
+}
+
+#[test]
+fn a_round_over_its_budget_goes_on_where_it_stopped() {
+    let mut bed = Bed::new(6, 0.0);
+    bed.core.config.round_probes = 3;
+    let batch = (1..7u64).map(|uid| {
+        let spec = spec(uid, Kind::Array, Priority::Low, 1);
+        Command::JobAdded(StoredJob { spec, entry: uid, done: BTreeSet::new() })
+    });
+    bed.step(batch.collect());
+    (0..4).for_each(|_| bed.report());
+    let widths: Vec<u32> = (1..7).map(|uid| bed.width(uid)).collect();
+    assert_eq!(widths, [1; 6]);
+}
