Machines of the last leader that the list no longer shows are deleted at once

Cause: after a takeover, inherited work waited 10.5 s for the cloud's word on spot machines that had been taken.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -364,6 +364,16 @@
         }
         failed.retain(|n| self.machines.get(n).is_some_and(|m| !m.deleting));
         self.delete(failed, "failed");
+        // The last leader had heard from it, and the list shows it no more: most likely it was taken, and
+        // the cloud's word on its deletion lets the work that it may have held start at once.
+        let vanished: Vec<String> = self
+            .machines
+            .values()
+            .filter(|m| m.recorded && !m.settled && m.phase == Phase::Expected && !m.deleting)
+            .filter(|m| !shown.contains(&m.name))
+            .map(|m| m.name.clone())
+            .collect();
+        self.delete(vanished, "held by the last leader and not listed");
         // Silent and missing from the lists for several lags: taken by the cloud.
         let lag = limits::micros(self.config.list_lag_s * 4.0) + 10 * limits::SECOND;
         let now = self.now;
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -193,6 +193,7 @@
         if !news {
             return;
         }
+        debug!(task = %id, machine = name, ?cause, "ended");
         if cause != Cause::Done && cause != Cause::Stopped {
             info!(task = %id, machine = name, ?cause, "task did not run to its end");
         }
