--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -221,6 +221,7 @@
                     || !place::allowed(job, machine)
                     || !zones.allows(job, &machine.zone)
                     || machine.surplus && job.spec.spot
+                    || machine.slow_until > self.now && job.spec.kind != Kind::Service
                     || warm && !machine.images.contains(&job.spec.image)
                     || pinned.as_ref().is_some_and(|z| *z != machine.zone)
                     || !reserve.spares(machine, free, &job.spec.needs)
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -337,6 +337,7 @@
                 sent: None,
                 seen: false,
                 status: TaskStatus::Fetching,
+                runs_since: None,
                 image,
                 since: now,
                 stopping: None,
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -198,6 +198,8 @@
     /// Whether a report has listed it.
     pub seen: bool,
     pub status: TaskStatus,
+    /// When this leader first saw it run, if it saw it start.
+    pub runs_since: Option<u64>,
     pub image: String,
     /// When this leader placed or first saw it: a shrink stops the newest.
     pub since: u64,
@@ -250,6 +252,10 @@
     pub deleting: bool,
     pub errors: BTreeSet<Uid>,
     pub no_room_until: u64,
+    /// Tasks in a row that took far longer here than the rest of their job elsewhere.
+    pub slow_votes: u32,
+    /// Until then no array or gang is started here.
+    pub slow_until: u64,
     pub idle_since: u64,
     pub known_since: u64,
     pub boot_give_up: u64,
@@ -307,6 +313,8 @@
     pub width: u32,
     pub errors: u32,
     pub paused_until: u64,
+    /// Run times of its finished tasks: sum in microseconds, and how many.
+    pub ran: (u64, u64),
     /// Why it waits, for the operators.
     pub waits_for: &'static str,
 }
@@ -329,6 +337,7 @@
             width: 0,
             errors: 0,
             paused_until: 0,
+            ran: (0, 0),
             waits_for: "",
         }
     }
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -39,6 +39,8 @@
             deleting: false,
             errors: BTreeSet::new(),
             no_room_until: 0,
+            slow_votes: 0,
+            slow_until: 0,
             idle_since: now,
             known_since: now,
             boot_give_up: now + limits::micros(boot),
@@ -133,6 +135,9 @@
                 Some(placed) if placed.attempt == task.attempt || !placed.seen => {
                     placed.attempt = task.attempt;
                     placed.seen = true;
+                    if placed.status != TaskStatus::Running && task.status == TaskStatus::Running {
+                        placed.runs_since = Some(now);
+                    }
                     placed.status = task.status;
                 }
                 // Two attempts of one task on one machine are ruled out by the worker.
@@ -144,6 +149,7 @@
                         sent: None,
                         seen: true,
                         status: task.status,
+                        runs_since: None,
                         image,
                         since: now,
                         stopping: None,
@@ -187,7 +193,10 @@
         let held = machine.tasks.get(&id).is_some_and(|t| t.attempt == attempt);
         let intended = machine.tasks.get(&id).is_some_and(|t| t.stopping.is_some());
         if held {
-            machine.tasks.remove(&id);
+            let ran = machine.tasks.remove(&id).and_then(|t| t.runs_since).map(|since| now - since);
+            if let (Cause::Done, Some(ran)) = (cause, ran) {
+                self.judge_speed(name, id.uid, ran);
+            }
             self.unplace(name, id);
         }
         if !news {
@@ -234,6 +243,26 @@
         }
     }
 
+    /// Tasks of one job differ by half or so; one that takes far longer than the others did speaks
+    /// against its machine, and a second one in a row keeps arrays off it for a while.
+    fn judge_speed(&mut self, name: &str, uid: Uid, ran: u64) {
+        let Some(job) = self.jobs.get_mut(&uid) else { return };
+        let (sum, count) = job.ran;
+        job.ran = (sum + ran, count + 1);
+        if count < limits::SLOW_AGAINST {
+            return;
+        }
+        let slow = ran as f64 > limits::SLOW_FACTOR * sum as f64 / count as f64;
+        let now = self.now;
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        machine.slow_votes = if slow { machine.slow_votes + 1 } else { 0 };
+        if machine.slow_votes >= limits::SLOW_VOTES {
+            warn!(machine = name, "slow: no arrays here for a while");
+            machine.slow_votes = 0;
+            machine.slow_until = now + limits::SLOW_PAUSE;
+        }
+    }
+
     /// Places that the report disproves.
     fn drop_unlisted(
         &mut self,
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -98,6 +98,14 @@
 /// On a spot notice, tasks that save are stopped when their saving time plus this is left.
 pub const RECALL_SLACK_S: f64 = 4.0;
 
+/// A task's run time is judged against at least this many others of its job; it is slow beyond this
+/// multiple of their mean (on simulated machines, tasks of one job differ by up to 2.3 times from
+/// shortest to longest); so many slow ones in a row keep arrays off the machine for this long.
+pub const SLOW_AGAINST: u64 = 3;
+pub const SLOW_FACTOR: f64 = 2.0;
+pub const SLOW_VOTES: u32 = 2;
+pub const SLOW_PAUSE: u64 = 60_000_000;
+
 // ---- fleet ----
 
 /// A new leader moves no replicas until it has seen this much calm.
--- a/tests/elastic_model.rs
+++ b/tests/elastic_model.rs
@@ -36,6 +36,8 @@
     seq: u64,
     machines: usize,
     running: BTreeMap<String, BTreeMap<TaskId, u64>>,
+    /// Tasks that have run to their end and are not reaped yet.
+    ended: BTreeSet<TaskId>,
 }
 
 impl Bed {
@@ -49,8 +51,14 @@
             list_lag_s: 3.0,
             round_probes: limits::ROUND_PROBES,
         };
-        let mut bed =
-            Bed { core: Core::new(config, SECOND), now: SECOND, seq: 0, machines, running: BTreeMap::new() };
+        let mut bed = Bed {
+            core: Core::new(config, SECOND),
+            now: SECOND,
+            seq: 0,
+            machines,
+            running: BTreeMap::new(),
+            ended: BTreeSet::new(),
+        };
         let has = Resources::offered(1.0, 1.0, 1.0);
         let zones = vec!["a".into()];
         let t = MachineType { name: "m".into(), has, price: 1.0, spot_price: None, boot_s: 60.0, zones };
@@ -69,6 +77,10 @@
                 Effect::Record(m) => {
                     Some(Command::Recorded { machine: m.name.clone(), outcome: Outcome::Done })
                 }
+                Effect::CommitDone { uid, tasks, .. } => {
+                    let (uid, tasks) = (*uid, tasks.clone());
+                    Some(Command::Committed { uid, tasks, outcome: Outcome::Done })
+                }
                 _ => None,
             })
             .collect();
@@ -86,7 +98,11 @@
             let listed = self.running.entry(machine.clone()).or_default();
             let tasks = listed
                 .iter()
-                .map(|(id, attempt)| ReportedTask { id: *id, attempt: *attempt, status: TaskStatus::Running })
+                .map(|(id, attempt)| {
+                    let ended = self.ended.contains(id);
+                    let status = if ended { TaskStatus::Exited(Cause::Done) } else { TaskStatus::Running };
+                    ReportedTask { id: *id, attempt: *attempt, status }
+                })
                 .collect();
             let report = Report {
                 machine: machine.clone(),
@@ -108,10 +124,9 @@
                         Order::Start { id, attempt } => {
                             running.insert(id, attempt);
                         }
-                        Order::Stop { id, .. } => {
+                        Order::Stop { id, .. } | Order::Forget { id, .. } => {
                             running.remove(&id);
                         }
-                        Order::Forget { .. } => {}
                     }
                 }
             }
@@ -216,3 +231,28 @@
     let widths: Vec<u32> = (1..7).map(|uid| bed.width(uid)).collect();
     assert_eq!(widths, [1; 6]);
 }
+
+#[test]
+fn a_machine_that_is_slow_twice_gets_no_arrays_for_a_while() {
+    let mut bed = Bed::new(4, 0.0);
+    bed.submit(spec(1, Kind::Array, Priority::Low, 40));
+    let slow = "m-000000".to_string();
+    let judged = |bed: &Bed| bed.core.machines[&slow].slow_until > bed.now;
+    let mut slow_since = bed.now;
+    while !judged(&bed) {
+        assert!(bed.now < 120 * SECOND, "never recognised");
+        // Everywhere else tasks take some 2 s, here 8.
+        let fast: Vec<TaskId> =
+            bed.running.iter().filter(|(m, _)| **m != slow).flat_map(|(_, t)| t.keys().copied()).collect();
+        bed.ended.extend(fast);
+        if bed.now >= slow_since + 8 * SECOND {
+            bed.ended.extend(bed.running[&slow].keys().copied().collect::<Vec<_>>());
+            slow_since = bed.now;
+        }
+        (0..4).for_each(|_| bed.report());
+    }
+    (0..4).for_each(|_| bed.report());
+    assert!(bed.running[&slow].is_empty(), "an array's task was started on the slow machine");
+    bed.submit(spec(2, Kind::Service, Priority::Critical, 1));
+    assert_eq!(bed.width(2), 1, "services still may use it");
+}
