--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -132,11 +132,7 @@
         if want == 0 {
             return self.wait(uid, "team limit");
         }
-        let mut found = self.find(job, want, room, false, probes);
-        if job.spec.priority == Priority::Critical && job.spec.kind == Kind::Service {
-            found = self.rather_warm(uid, found, order, room, probes);
-        }
-        let Some(job) = self.jobs.get(&uid) else { return };
+        let found = self.find(job, want, room, probes);
         if !found.is_empty() && held + found.len() as u32 >= job.admission().min(held + want) {
             if found.len() as u32 + running > job.width {
                 let now = self.now;
@@ -164,41 +160,14 @@
         let held = job.places.len() as u32;
         let missing = job.minimum().saturating_sub(held).max(1).min(job.waiting.len() as u32);
         let service = job.spec.kind == Kind::Service;
-        if !self.shrink_for(uid, missing, order, room, false, probes) && service && missing > 1 {
+        if !self.shrink_for(uid, missing, order, room, probes) && service && missing > 1 {
             // Its replicas serve each by itself: one is better than none.
-            self.shrink_for(uid, 1, order, room, false, probes);
-        }
-    }
-
-    /// A critical replica that would wait for its image is better off where the image is, if a lower
-    /// task there can be stopped: that takes a second or two, a fetch often more than its users bear.
-    /// Returns the machines to start on now; the other replicas wait for room under way.
-    fn rather_warm(
-        &mut self,
-        uid: Uid,
-        found: Vec<String>,
-        order: &[Uid],
-        room: &mut Room,
-        probes: &mut usize,
-    ) -> Vec<String> {
-        let Some(job) = self.jobs.get(&uid) else { return found };
-        let warm =
-            |name: &String| self.machines.get(name).is_some_and(|m| m.images.contains(&job.spec.image));
-        let (mut now, cold): (Vec<String>, Vec<String>) = found.into_iter().partition(warm);
-        let missing = cold.len() as u32;
-        if missing == 0 || job.spec.image_gb < limits::COLD_GB {
-            now.extend(cold);
-            return now;
-        }
-        if !self.shrink_for(uid, missing, order, room, true, probes) {
-            now.extend(cold);
+            self.shrink_for(uid, 1, order, room, probes);
         }
-        now
     }
 
     /// Machines for up to `want` tasks of the job, the best ones first; an entry per task.
-    /// `warm`: only where its image is.
-    fn find(&self, job: &Job, want: u32, room: &Room, warm: bool, probes: &mut usize) -> Vec<String> {
+    fn find(&self, job: &Job, want: u32, room: &Room, probes: &mut usize) -> Vec<String> {
         let mut zones = ZoneCount::of(job, &self.machines);
         let pinned = if job.spec.one_zone && job.places.is_empty() {
             match self.best_zone(job, room) {
@@ -222,7 +191,6 @@
                     || !zones.allows(job, &machine.zone)
                     || machine.surplus && job.spec.spot
                     || machine.slow_until > self.now && job.spec.kind != Kind::Service
-                    || warm && !machine.images.contains(&job.spec.image)
                     || pinned.as_ref().is_some_and(|z| *z != machine.zone)
                     || !reserve.spares(machine, free, &job.spec.needs)
                 {
@@ -263,7 +231,6 @@
         missing: u32,
         order: &[Uid],
         room: &mut Room,
-        warm: bool,
         probes: &mut usize,
     ) -> bool {
         let Some(job) = self.jobs.get(&uid) else { return false };
@@ -275,7 +242,7 @@
                 soon.free.insert(name.clone(), room.free[name].plus(&pending));
             }
         }
-        let coming = self.find(job, missing, &soon, warm, probes);
+        let coming = self.find(job, missing, &soon, probes);
         if coming.len() as u32 >= missing {
             // Hold the room for this job: nobody later in the round may take it.
             for machine in coming {
@@ -290,19 +257,17 @@
         // and then jobs below their minimum. A swarm of lower jobs pinned at one task each would
         // otherwise keep it out until a machine has booted.
         let stages: &[(bool, bool)] = match job.spec.priority {
-            Priority::Critical if !warm => &[(true, true), (false, true), (false, false)],
+            Priority::Critical => &[(true, true), (false, true), (false, false)],
             _ => &[(true, true)],
         };
         let chosen = stages.iter().find_map(|(gap, minimum)| {
             let mut soon = Room { free: soon.free.clone() };
-            let stops = self.victims(job, missing, order, &mut soon, (*gap, *minimum, warm), probes);
-            let targets = self.find(job, missing, &soon, warm, probes);
+            let stops = self.victims(job, missing, order, &mut soon, (*gap, *minimum), probes);
+            let targets = self.find(job, missing, &soon, probes);
             (targets.len() as u32 >= missing).then_some((stops, targets))
         });
         let Some((mut stops, targets)) = chosen else {
-            if !warm {
-                self.wait(uid, "no free slot, and lower jobs cannot yield its minimum");
-            }
+            self.wait(uid, "no free slot, and lower jobs cannot yield its minimum");
             return false;
         };
         let needs = job.spec.needs;
@@ -329,15 +294,14 @@
     }
 
     /// Tasks of lower jobs to stop, lowest job first and its newest task first, until `missing` places
-    /// are found. `gap`, `minimum`: whether the rescale gap and the victims' minimum protect them;
-    /// `warm`: only where the newcomer's image is.
+    /// are found. `gap`, `minimum`: whether the rescale gap and the victims' minimum protect them.
     fn victims(
         &self,
         job: &Job,
         missing: u32,
         order: &[Uid],
         soon: &mut Room,
-        (gap, minimum, warm): (bool, bool, bool),
+        (gap, minimum): (bool, bool),
         probes: &mut usize,
     ) -> Vec<(String, TaskId)> {
         let mut stops = Vec::new();
@@ -364,12 +328,12 @@
                 let Some(free) = soon.free.get_mut(name) else { continue };
                 let Some(machine) = self.machines.get(name) else { continue };
                 // A stop that cannot help the newcomer would be for nothing.
-                if !place::allowed(job, machine) || warm && !machine.images.contains(&job.spec.image) {
+                if !place::allowed(job, machine) {
                     continue;
                 }
                 *free = free.plus(&victim.spec.needs);
                 stops.push((name.clone(), id));
-                if self.find(job, missing, soon, warm, probes).len() as u32 >= missing {
+                if self.find(job, missing, soon, probes).len() as u32 >= missing {
                     return stops;
                 }
             }
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -86,8 +86,6 @@
 pub const ROUND_IDLE: u64 = 500_000;
 /// Room of a stop that is not confirmed this long after its grace is not counted on any more.
 pub const STOP_PATIENCE: u64 = 4_000_000;
-/// Images below this size (GB) are fetched in a second or two: no reason to stop anybody for.
-pub const COLD_GB: f64 = 1.0;
 /// Errors of different jobs on one machine after which it is replaced.
 pub const MACHINE_ERRORS: u32 = 2;
 /// First pause of a job whose task failed; doubles up to the longest.
