--- a/src/leadership_tests.rs
+++ b/src/leadership_tests.rs
@@ -55,6 +55,7 @@
     cut: Option<(usize, bool)>,
     cut_until: u64,
     workers_cut: Option<usize>,
+    first_workers: bool,
     tokens: Vec<(u64, usize, u64)>,
     led: BTreeMap<u64, (usize, u64)>,
     led_time: u64,
@@ -75,6 +76,7 @@
             cut: None,
             cut_until: 0,
             workers_cut: None,
+            first_workers: false,
             tokens: Vec::new(),
             led: BTreeMap::new(),
             led_time: 0,
@@ -153,6 +155,12 @@
     }
 
     fn status(&self, node: usize) -> Status {
+        if self.first_workers {
+            // The first workers of a day have asked the peers, and none has come to the leader yet.
+            let workers = if self.nodes[node].leadership.is_leader() { 0 } else { 2 };
+            let state_age = self.local(node).saturating_sub(self.nodes[node].state_answered);
+            return Status { state_age, workers, machines: 0 };
+        }
         let cut = self.cut.is_some_and(|(n, _)| n == node) || self.workers_cut == Some(node);
         // Nobody has come to a peer yet: only the leader has workers.
         let leads = self.nodes[node].leadership.is_leader();
@@ -432,3 +440,11 @@
         assert!(world.leader().is_some(), "seed {seed}: nobody leads after the outage");
     }
 }
+
+#[test]
+fn a_leader_that_no_worker_has_come_to_yet_does_not_hand_over() {
+    let mut world = World::new(6);
+    world.first_workers = true;
+    world.run(12 * limits::SECOND);
+    assert_eq!(world.tokens.len(), 1, "{:?}", world.tokens);
+}
--- a/tests/elastic_model.rs
+++ b/tests/elastic_model.rs
@@ -1,7 +1,7 @@
 //! The elastic pass against a slow plain model of DESIGN's text, on equal one-task machines.
 
 use dockpier::core::model::*;
-use dockpier::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob};
+use dockpier::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob, StoredMachine};
 use dockpier::limits::{self, SECOND};
 use dockpier::settings::{Operator, Team, Workers};
 use proptest::prelude::*;
@@ -30,6 +30,17 @@
     }
 }
 
+fn types() -> Vec<MachineType> {
+    vec![MachineType {
+        name: "m".into(),
+        has: Resources::offered(1.0, 1.0, 1.0),
+        price: 1.0,
+        spot_price: None,
+        boot_s: 60.0,
+        zones: vec!["a".into()],
+    }]
+}
+
 struct Bed {
     core: Core,
     now: u64,
@@ -59,10 +70,7 @@
             running: BTreeMap::new(),
             ended: BTreeSet::new(),
         };
-        let has = Resources::offered(1.0, 1.0, 1.0);
-        let zones = vec!["a".into()];
-        let t = MachineType { name: "m".into(), has, price: 1.0, spot_price: None, boot_s: 60.0, zones };
-        bed.step(vec![Command::Types(vec![t]), Command::Load { jobs: vec![], machines: vec![] }]);
+        bed.step(vec![Command::Types(types()), Command::Load { jobs: vec![], machines: vec![] }]);
         bed.report();
         bed.report();
         bed
@@ -256,3 +264,50 @@
     bed.submit(spec(2, Kind::Service, Priority::Critical, 1));
     assert_eq!(bed.width(2), 1, "services still may use it");
 }
+
+#[test]
+fn a_held_report_of_a_returned_machine_brings_nothing_back() {
+    let mut bed = Bed::new(2, 0.0);
+    bed.submit(spec(1, Kind::Array, Priority::Low, 2));
+    let gone = "m-000001".to_string();
+    bed.step(vec![Command::Deleted { machines: vec![gone.clone()], outcome: Outcome::Done }]);
+    // The cut ends and delivers what the machine had reported before.
+    bed.report();
+    assert!(!bed.core.machines.contains_key(&gone));
+    let places: usize = bed.core.jobs[&Uid(1)].places.values().map(Vec::len).sum();
+    assert_eq!((places, bed.core.jobs[&Uid(1)].waiting.len()), (1, 1));
+}
+
+#[test]
+fn a_machine_that_does_not_come_to_a_new_leader_is_deleted_before_its_lease_ends() {
+    let mut bed = Bed::new(3, 0.0);
+    let known = |i: usize| StoredMachine {
+        name: format!("m-{i:06}"),
+        machine_type: "m".into(),
+        zone: "a".into(),
+        spot: false,
+        address: String::new(),
+        images: BTreeSet::new(),
+    };
+    // The next leader: four machines are on record, three of them report.
+    bed.core = Core::new(bed.core.config.clone(), bed.now);
+    let job = StoredJob { spec: spec(1, Kind::Array, Priority::Low, 2), entry: 1, done: BTreeSet::new() };
+    let load = Command::Load { jobs: vec![job], machines: (0..4).map(known).collect() };
+    bed.step(vec![Command::Types(types()), load]);
+    let begun = bed.now;
+    let mut deleted = None;
+    while deleted.is_none() {
+        bed.report();
+        assert_eq!(bed.width(1), 0, "its tasks may be on the machine that has not come");
+        assert!(bed.now < begun + limits::worker_lease(10.0), "the whole lease was waited for");
+        let effects = bed.step(vec![]);
+        deleted = effects.into_iter().find_map(|e| match e {
+            Effect::Delete(names) if names == ["m-000003"] => Some(names),
+            _ => None,
+        });
+    }
+    let machines = deleted.unwrap();
+    bed.step(vec![Command::Deleted { machines, outcome: Outcome::Done }]);
+    (0..2).for_each(|_| bed.report());
+    assert_eq!(bed.width(1), 2);
+}
