--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -31,6 +31,10 @@
             return class;
         }
         // Age never lifts anybody above the critical services.
+        // A deadline makes a job age faster, by one class until it falls due. A job that is late already
+        // leaves the room to those that can still be in time.
+        let due = job.spec.deadline_s.map(limits::micros).filter(|due| *due > 0 && age <= *due);
+        let aging = due.map_or(aging, |due| aging.min(due));
         (class + age * 1000 / aging).min(Priority::Critical as u64 * 1000 - 1)
     }
 
--- a/tests/elastic_model.rs
+++ b/tests/elastic_model.rs
@@ -311,3 +311,20 @@
     (0..2).for_each(|_| bed.report());
     assert_eq!(bed.width(1), 2);
 }
+
+#[test]
+fn a_job_that_falls_due_passes_one_with_more_time_but_not_once_it_is_late() {
+    for (waits_s, first) in [(30, 3), (70, 2)] {
+        let mut bed = Bed::new(1, 0.0);
+        bed.submit(spec(1, Kind::Array, Priority::High, 1));
+        bed.submit(JobSpec { deadline_s: Some(900.0), ..spec(2, Kind::Array, Priority::Low, 1) });
+        bed.submit(JobSpec { deadline_s: Some(60.0), ..spec(3, Kind::Array, Priority::Low, 1) });
+        let until = bed.now + waits_s * SECOND;
+        while bed.now < until {
+            bed.report();
+        }
+        bed.step(vec![Command::JobRemoved(Uid(1))]);
+        (0..3).for_each(|_| bed.report());
+        assert_eq!((bed.width(first), bed.width(5 - first)), (1, 0), "after {waits_s} s");
+    }
+}
