One walk over a job's places, one way to take room, one question about a served peer

Read again: the walk over a job's places stood in four forms, taking room from a round in three, and two functions asked whether a peer reaches the state service. Behaviour is unchanged.

--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -19,6 +19,14 @@
     free: BTreeMap<String, Resources>,
 }
 
+impl Room {
+    fn take(&mut self, machine: &str, needs: &Resources) {
+        if let Some(free) = self.free.get_mut(machine) {
+            *free = free.minus(needs);
+        }
+    }
+}
+
 impl Core {
     /// Aged rank: the priority class plus the share of a class that its age has earned, in thousandths.
     /// Every job ages from its arrival: were only waiting ones to age, a newcomer would pass earlier jobs
@@ -110,7 +118,7 @@
             return self.wait(uid, "machines of the last leader have not reported");
         }
         let limited = self.team_limited(&job.spec.team);
-        if limited && !self.all_settled() {
+        if limited && !self.settled {
             return self.wait(uid, "team usage not known yet");
         }
         let held = job.places.len() as u32;
@@ -249,11 +257,7 @@
         let coming = self.find(job, missing, &soon, probes);
         if coming.len() as u32 >= missing {
             // Hold the room for this job: nobody later in the round may take it.
-            for machine in coming {
-                if let Some(free) = room.free.get_mut(&machine) {
-                    *free = free.minus(&job.spec.needs);
-                }
-            }
+            coming.iter().for_each(|machine| room.take(machine, &job.spec.needs));
             self.wait(uid, "stops under way");
             return true;
         }
@@ -277,11 +281,7 @@
         let needs = job.spec.needs;
         // Stops on machines that the newcomer ends up not using would be for nothing.
         stops.retain(|(name, _)| targets.contains(name));
-        for machine in &targets {
-            if let Some(free) = room.free.get_mut(machine) {
-                *free = free.minus(&needs);
-            }
-        }
+        targets.iter().for_each(|machine| room.take(machine, &needs));
         for (machine, id) in stops {
             debug!(task = %id, machine, newcomer = %uid, "shrink");
             self.decided(format!("stop {id} on {machine} for {uid}"));
@@ -314,15 +314,10 @@
             if gap && self.in_gap(victim) || !self.may_preempt(job, victim) {
                 continue;
             }
-            let mut running: Vec<_> = victim
-                .places
-                .iter()
-                .flat_map(|(task, names)| names.iter().map(move |n| (*task, n)))
-                .filter_map(|(task, name)| {
-                    let id = TaskId { uid: victim.spec.uid, task };
-                    let placed = self.machines.get(name)?.tasks.get(&id)?;
-                    placed.stopping.is_none().then_some((placed.since, id, name))
-                })
+            let mut running: Vec<_> = self
+                .placed(victim)
+                .filter(|(_, _, t)| t.stopping.is_none())
+                .map(|(id, name, t)| (t.since, id, name))
                 .collect();
             running.sort();
             let floor = if minimum { victim.minimum() } else { 0 };
@@ -336,7 +331,7 @@
                     continue;
                 }
                 *free = free.plus(&victim.spec.needs);
-                stops.push((name.clone(), id));
+                stops.push((name.to_string(), id));
                 if self.find(job, missing, soon, probes).len() as u32 >= missing {
                     return stops;
                 }
@@ -360,14 +355,7 @@
     }
 
     fn stopping(&self, job: &Job) -> u32 {
-        job.places
-            .iter()
-            .flat_map(|(task, names)| names.iter().map(move |n| (*task, n)))
-            .filter(|(task, name)| {
-                let id = TaskId { uid: job.spec.uid, task: *task };
-                self.machines.get(*name).and_then(|m| m.tasks.get(&id)).is_some_and(|t| t.stopping.is_some())
-            })
-            .count() as u32
+        self.placed(job).filter(|(_, _, t)| t.stopping.is_some()).count() as u32
     }
 
     fn assign(&mut self, uid: Uid, machine: &str, attempt: u64, room: &mut Room) {
@@ -375,9 +363,7 @@
         let Some(task) = job.waiting.pop_first() else { return };
         job.places.entry(task).or_default().push(machine.into());
         let (needs, image) = (job.spec.needs, job.spec.image.clone());
-        if let Some(free) = room.free.get_mut(machine) {
-            *free = free.minus(&needs);
-        }
+        room.take(machine, &needs);
         self.place_on(machine, TaskId { uid, task }, needs, image, attempt);
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -306,13 +306,21 @@
 
     fn stop_all(&mut self, uid: Uid) {
         let Some(job) = self.jobs.get(&uid) else { return };
-        let places: Vec<_> =
-            job.places.iter().flat_map(|(t, names)| names.iter().map(|n| (*t, n.clone()))).collect();
-        for (task, machine) in places {
-            self.stop(&machine, TaskId { uid, task }, 0.0);
+        let places: Vec<_> = self.placed(job).map(|(id, machine, _)| (id, machine.to_string())).collect();
+        for (id, machine) in places {
+            self.stop(&machine, id, 0.0);
         }
     }
 
+    /// Every place where a task of the job is, or may be.
+    fn placed<'a>(&'a self, job: &'a Job) -> impl Iterator<Item = (TaskId, &'a str, &'a Placed)> {
+        let places = job.places.iter().flat_map(|(task, names)| names.iter().map(move |n| (*task, n)));
+        places.filter_map(|(task, name)| {
+            let id = TaskId { uid: job.spec.uid, task };
+            Some((id, name.as_str(), self.machines.get(name)?.tasks.get(&id)?))
+        })
+    }
+
     fn drop_if_over(&mut self, uid: Uid) {
         if self.jobs.get(&uid).is_some_and(|j| j.over && j.places.is_empty()) {
             self.jobs.remove(&uid);
@@ -402,12 +410,7 @@
             && self.now < machine.heard + limits::silent(self.config.workers.report_s)
     }
 
-    /// Whether every machine that an earlier leader may have used is accounted for.
-    pub fn all_settled(&self) -> bool {
-        self.settled
-    }
-
-    /// The same for the machines that the job may have been started on.
+    /// Whether every machine that an earlier leader may have started the job on is accounted for.
     pub fn settled_for(&self, job: &Job) -> bool {
         self.settled || !self.machines.values().any(|m| m.recorded && !m.settled && place::allowed(job, m))
     }
@@ -519,16 +522,8 @@
     /// (job, finished tasks, running tasks) for display.
     pub fn summary(&self) -> Vec<(Uid, u32, u32)> {
         let running = |job: &Job| {
-            let on = |(task, names): (&u32, &Vec<String>)| {
-                let id = TaskId { uid: job.spec.uid, task: *task };
-                names.iter().any(|n| {
-                    self.machines
-                        .get(n)
-                        .and_then(|m| m.tasks.get(&id))
-                        .is_some_and(|t| t.status == TaskStatus::Running)
-                })
-            };
-            job.places.iter().filter(|p| on(*p)).count() as u32
+            let on = self.placed(job).filter(|(_, _, t)| t.status == TaskStatus::Running);
+            on.map(|(id, _, _)| id).collect::<BTreeSet<_>>().len() as u32
         };
         self.jobs
             .values()
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -431,7 +431,7 @@
         // Without a fresh reading there is nothing to condition a transaction on.
         let readable = self.probed && now < self.probed_at + limits::PROBE_CALM && !self.locked;
         if let Role::Caretaker { .. } = self.role {
-            if self.caretaker(now).is_some() && !readable && !self.a_peer_is_served(now) {
+            if self.caretaker(now).is_some() && !readable && !self.peer_has_state(now) {
                 return;
             }
             info!("caretaking ends");
@@ -441,7 +441,7 @@
         if matches!(self.role, Role::Taking { .. }) || calm || now < self.campaign_due {
             return;
         }
-        let outage = self.state_lost() && self.token > 0 && !self.a_peer_is_served(now);
+        let outage = self.state_lost() && self.token > 0 && !self.peer_has_state(now);
         if !(readable || outage) || self.grant_out.is_some_and(|(_, until)| now < until) {
             return;
         }
@@ -463,10 +463,6 @@
         self.status.state_age >= limits::STATE_LOST
     }
 
-    fn a_peer_is_served(&self, now: u64) -> bool {
-        self.others().any(|i| self.fresh(i, now) && self.peers[i].status.state_age < limits::STATE_LOST)
-    }
-
     fn promises_until(&self, now: u64) -> u64 {
         // Our own promise counts only while it binds us too.
         let own = self.promise_out.filter(|(to, until)| *to == self.me && now < *until);
