--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,320 @@
+//! What users and workers ask, over HTTP. No decisions here: users' requests are settled with the
+//! state service, check-ins by the owner of the state.
+
+use crate::core::model::{JobSpec, Kind, MachineType, Resources, Uid};
+use crate::core::Core;
+use crate::limits;
+use crate::server::{CheckinReply, Event};
+use crate::settings::Team;
+use crate::store::{self, Committed, Store, StoreError};
+use crate::wire::{self, Checkin, JobState, Over, Submission};
+use poem::http::{header, StatusCode};
+use poem::web::{Data, Path};
+use poem::{get, handler, post, Body, EndpointExt, IntoEndpoint, Response, Route};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use tokio::sync::{mpsc, oneshot, watch, Semaphore};
+use tracing::{debug, info, warn};
+
+pub type Types = Arc<BTreeMap<String, MachineType>>;
+/// Per job: finished and running tasks, as the leader last said.
+pub type Summary = Arc<HashMap<Uid, (u32, u32)>>;
+
+/// Final states that this node has read or written; they never change.
+#[derive(Default)]
+struct OverCache {
+    known: HashMap<Uid, JobState>,
+    order: VecDeque<Uid>,
+}
+
+pub struct Api {
+    pub store: Store,
+    pub teams: Vec<Team>,
+    pub types: watch::Receiver<Types>,
+    pub summary: watch::Receiver<Summary>,
+    pub events: mpsc::Sender<Event>,
+    pub healthy: Arc<AtomicBool>,
+    pub users: Semaphore,
+    over: Mutex<OverCache>,
+}
+
+/// Why a request gets no answer of its own.
+enum Refusal {
+    Malformed(String),
+    Never(String),
+    /// Not now; nothing was decided.
+    Later(String),
+    NoSuchJob,
+}
+
+impl From<StoreError> for Refusal {
+    fn from(error: StoreError) -> Self {
+        Refusal::Later(format!("state service: {error}"))
+    }
+}
+
+fn json(status: StatusCode, body: &impl serde::Serialize) -> Response {
+    match serde_json::to_vec(body) {
+        Ok(bytes) => Response::builder().status(status).content_type("application/json").body(bytes),
+        Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into(),
+    }
+}
+
+fn error(status: StatusCode, why: &str) -> Response {
+    json(status, &serde_json::json!({ "error": why }))
+}
+
+impl From<Refusal> for Response {
+    fn from(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::Malformed(why) => error(StatusCode::BAD_REQUEST, &why),
+            Refusal::Never(why) => error(StatusCode::UNPROCESSABLE_ENTITY, &why),
+            Refusal::NoSuchJob => error(StatusCode::NOT_FOUND, "no such job"),
+            Refusal::Later(why) => {
+                debug!(why, "told to come back");
+                let mut response = error(StatusCode::SERVICE_UNAVAILABLE, &why);
+                response.headers_mut().insert(header::RETRY_AFTER, limits::RETRY_AFTER_S.into());
+                response
+            }
+        }
+    }
+}
+
+async fn read_body(body: Body) -> Result<Vec<u8>, Refusal> {
+    body.into_bytes_limit(limits::BODY)
+        .await
+        .map(Into::into)
+        .map_err(|e| Refusal::Malformed(format!("body: {e}")))
+}
+
+impl Api {
+    pub fn new(
+        store: Store,
+        teams: Vec<Team>,
+        types: watch::Receiver<Types>,
+        summary: watch::Receiver<Summary>,
+        events: mpsc::Sender<Event>,
+        healthy: Arc<AtomicBool>,
+    ) -> Self {
+        let users = Semaphore::new(limits::USERS_AT_ONCE);
+        Api { store, teams, types, summary, events, healthy, users, over: Mutex::default() }
+    }
+
+    /// A user's turn, and a request to the state service; neither is waited for.
+    fn admit(&self) -> Result<tokio::sync::SemaphorePermit<'_>, Refusal> {
+        let busy = || Refusal::Later("too many requests at once".into());
+        let permit = self.users.try_acquire().map_err(|_| busy())?;
+        self.store.user_may_ask().then_some(permit).ok_or_else(busy)
+    }
+
+    fn remember(&self, uid: Uid, state: &JobState) {
+        let Ok(mut over) = self.over.lock() else { return };
+        if over.known.insert(uid, state.clone()).is_none() {
+            over.order.push_back(uid);
+            if over.order.len() > limits::OVER_CACHE {
+                if let Some(oldest) = over.order.pop_front() {
+                    over.known.remove(&oldest);
+                }
+            }
+        }
+    }
+
+    fn remembered(&self, uid: Uid) -> Option<JobState> {
+        self.over.lock().ok()?.known.get(&uid).cloned()
+    }
+
+    async fn read_over(&self, uid: Uid) -> Result<Option<JobState>, StoreError> {
+        let Some((value, _)) = self.store.get(&store::over(uid), limits::POLL_TIMEOUT).await? else {
+            return Ok(None);
+        };
+        let over: Over = serde_json::from_value(value).map_err(|e| StoreError::Malformed(e.to_string()))?;
+        let done = if over.status == "done" { over.tasks } else { 0 };
+        let state = JobState { uid: uid.to_string(), status: over.status, done: Some(done), running: Some(0) };
+        self.remember(uid, &state);
+        Ok(Some(state))
+    }
+
+    /// The job's state as the state service has it. `live` before `over`: a job moves between them in
+    /// one transaction, so that this order never misses it.
+    async fn state(&self, uid: Uid) -> Result<Option<JobState>, StoreError> {
+        if let Some(state) = self.remembered(uid) {
+            return Ok(Some(state));
+        }
+        if self.store.get(&store::live(uid), limits::POLL_TIMEOUT).await?.is_none() {
+            return self.read_over(uid).await;
+        }
+        let (done, running) = self.summary.borrow().get(&uid).copied().unwrap_or((0, 0));
+        let status = if running > 0 { "running" } else { "pending" };
+        let state =
+            JobState { uid: uid.to_string(), status: status.into(), done: Some(done), running: Some(running) };
+        Ok(Some(state))
+    }
+
+    /// Why the job can never run; None when it can; an error when that can't be told yet.
+    fn never(&self, job: &JobSpec) -> Result<Option<String>, Refusal> {
+        let Some(team) = self.teams.iter().find(|t| t.name == job.team) else {
+            return Ok(Some(format!("unknown team {}", job.team)));
+        };
+        let count = if job.kind == Kind::Service { i64::from(job.tasks) } else { 1 };
+        let needs = job.needs.times(count);
+        let limit = Resources::offered(team.cpus_max, team.gpus_max, 0.0);
+        if team.cpus_max > 0.0 && needs.cpus > limit.cpus || team.gpus_max > 0.0 && needs.gpus > limit.gpus {
+            return Ok(Some(format!("needs more than the limit of team {}", team.name)));
+        }
+        let types = self.types.borrow().clone();
+        if types.is_empty() {
+            return Err(Refusal::Later("machine types not known yet".into()));
+        }
+        Ok((!Core::fits_some_type(job, &types)).then(|| "a task fits no allowed machine type".into()))
+    }
+
+    async fn submit(&self, body: Body) -> Result<Response, Refusal> {
+        let bytes = read_body(body).await?;
+        let submission: Submission = wire::parse(&bytes).map_err(Refusal::Malformed)?;
+        let job = submission.check().map_err(Refusal::Malformed)?;
+        let _turn = self.admit()?;
+        let never = match self.never(&job) {
+            Ok(None) => None,
+            // What is known already stays known, whatever the types and teams say today.
+            undecided => match self.state(job.uid).await? {
+                Some(state) => return Ok(json(StatusCode::OK, &state)),
+                None => undecided?,
+            },
+        };
+        if let Some(why) = never {
+            return Err(Refusal::Never(why));
+        }
+        let (live, over) = (store::live(job.uid), store::over(job.uid));
+        let record = store::write(&live, &submission).map_err(|e| Refusal::Malformed(e.to_string()))?;
+        let absent = vec![store::compare(&live, 0), store::compare(&over, 0)];
+        match self.store.commit(absent, vec![record]).await {
+            Committed::Done { .. } => {
+                info!(job = %job.uid, class = job.class, team = job.team, tasks = job.tasks, "accepted");
+                let state =
+                    JobState { uid: submission.uid, status: "pending".into(), done: None, running: None };
+                Ok(json(StatusCode::CREATED, &state))
+            }
+            Committed::Refused => Err(Refusal::Later("state service takes no changes now".into())),
+            // Unknown: only what can be read back is told.
+            Committed::Conflict | Committed::Unknown => match self.state(job.uid).await? {
+                Some(state) => Ok(json(StatusCode::OK, &state)),
+                None => Err(Refusal::Later("not known whether it was stored".into())),
+            },
+        }
+    }
+
+    async fn poll(&self, uid: &str) -> Result<Response, Refusal> {
+        let uid = Uid::parse(uid).ok_or(Refusal::NoSuchJob)?;
+        if let Some(state) = self.remembered(uid) {
+            return Ok(json(StatusCode::OK, &state));
+        }
+        let _turn = self.admit()?;
+        let state = self.state(uid).await?.ok_or(Refusal::NoSuchJob)?;
+        Ok(json(StatusCode::OK, &state))
+    }
+
+    async fn withdraw(&self, uid: &str) -> Result<Response, Refusal> {
+        let uid = Uid::parse(uid).ok_or(Refusal::NoSuchJob)?;
+        if let Some(state) = self.remembered(uid) {
+            return Ok(json(StatusCode::OK, &state));
+        }
+        let _turn = self.admit()?;
+        let (live, over) = (store::live(uid), store::over(uid));
+        let Some((value, entry)) = self.store.get(&live, limits::POLL_TIMEOUT).await? else {
+            let state = self.read_over(uid).await?.ok_or(Refusal::NoSuchJob)?;
+            return Ok(json(StatusCode::OK, &state));
+        };
+        let tasks = value.get("loads").and_then(serde_json::Value::as_u64).unwrap_or(0) as u32;
+        let record = store::write(&over, Over { status: "aborted".into(), tasks })
+            .map_err(|e| Refusal::Later(e.to_string()))?;
+        let then = vec![record, store::remove(&live)];
+        match self.store.commit(vec![store::compare(&live, entry)], then).await {
+            Committed::Done { .. } => {
+                info!(job = %uid, "withdrawn");
+                let state = JobState { uid: uid.to_string(), status: "aborted".into(), done: None, running: None };
+                self.remember(uid, &state);
+                Ok(json(StatusCode::OK, &state))
+            }
+            Committed::Refused => Err(Refusal::Later("state service takes no changes now".into())),
+            // Over by now, perhaps by this very request: its final state says.
+            Committed::Conflict | Committed::Unknown => match self.read_over(uid).await? {
+                Some(state) => Ok(json(StatusCode::OK, &state)),
+                None => Err(Refusal::Later("not known whether it was withdrawn".into())),
+            },
+        }
+    }
+
+    async fn checkin(&self, body: Body) -> Result<Response, Refusal> {
+        let bytes = read_body(body).await?;
+        let checkin: Checkin = wire::parse(&bytes).map_err(|why| {
+            warn!(why, "malformed check-in");
+            Refusal::Malformed(why)
+        })?;
+        let (to, answer) = oneshot::channel();
+        self.events
+            .try_send(Event::Checkin(checkin, to))
+            .map_err(|_| Refusal::Later("too many events at once".into()))?;
+        match tokio::time::timeout(limits::CHECKIN_TIMEOUT, answer).await {
+            Ok(Ok(CheckinReply::Orders(answer))) => Ok(json(StatusCode::OK, &answer)),
+            Ok(Ok(CheckinReply::Malformed)) => Err(Refusal::Malformed("loads: unreadable task".into())),
+            Ok(Ok(CheckinReply::Elsewhere(leader))) => {
+                let body = leader.map_or_else(
+                    || serde_json::json!({}),
+                    |name| serde_json::json!({ "harbormaster": name }),
+                );
+                Ok(json(StatusCode::MISDIRECTED_REQUEST, &body))
+            }
+            _ => Err(Refusal::Later("not entitled to act now".into())),
+        }
+    }
+}
+
+type Shared<'a> = Data<&'a Arc<Api>>;
+
+fn answer(result: Result<Response, Refusal>) -> Response {
+    result.unwrap_or_else(Response::from)
+}
+
+#[handler]
+async fn submit(Data(api): Shared<'_>, body: Body) -> Response {
+    answer(api.submit(body).await)
+}
+
+#[handler]
+async fn poll(Data(api): Shared<'_>, Path(uid): Path<String>) -> Response {
+    answer(api.poll(&uid).await)
+}
+
+#[handler]
+async fn withdraw(Data(api): Shared<'_>, Path(uid): Path<String>) -> Response {
+    answer(api.withdraw(&uid).await)
+}
+
+#[handler]
+async fn checkin(Data(api): Shared<'_>, body: Body) -> Response {
+    answer(api.checkin(body).await)
+}
+
+#[handler]
+fn health(Data(api): Shared<'_>) -> Response {
+    if api.healthy.load(Ordering::Relaxed) {
+        json(StatusCode::OK, &serde_json::json!({ "status": "ok" }))
+    } else {
+        Refusal::Later("cannot take requests now".into()).into()
+    }
+}
+
+pub fn routes(api: Arc<Api>) -> impl IntoEndpoint {
+    Route::new()
+        .at("/submissions", post(submit))
+        .at("/submissions/:uid", get(poll))
+        .at("/submissions/:uid/withdraw", post(withdraw))
+        .at("/checkin", post(checkin))
+        .at("/healthz", get(health))
+        .data(api)
+        .catch_all_error(|e: poem::Error| async move {
+            error(e.status(), e.status().canonical_reason().unwrap_or("error"))
+        })
+}
+
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,76 @@
+//! The command line. Subcommands leave room for a client beside the daemon.
+
+use crate::settings::{Operator, Settings, SettingsError};
+use clap::{Parser, Subcommand};
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tracing::level_filters::LevelFilter;
+
+#[derive(Parser)]
+#[command(name = "dockpier", version, about = "An elastic cluster scheduler")]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run one controller until it is killed
+    Serve {
+        /// The operators' own settings (S-expressions)
+        #[arg(long, value_name = "FILE")]
+        operator: Option<PathBuf>,
+        /// The platform's settings (JSON)
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
+}
+
+fn load(config: PathBuf, operator: Option<PathBuf>) -> Result<(Settings, Operator), SettingsError> {
+    let settings = Settings::load(&config)?;
+    let operator = operator.map(|file| Operator::load(&file)).transpose()?.unwrap_or_default();
+    Ok((settings, operator))
+}
+
+/// `LOG_LEVEL` is the platform's; an unknown value falls back to `info` and is said so.
+fn start_logging() {
+    let wanted = std::env::var("LOG_LEVEL").unwrap_or_else(|_| "info".into());
+    let level = wanted.parse::<LevelFilter>();
+    tracing_subscriber::fmt()
+        .with_max_level(level.as_ref().copied().unwrap_or(LevelFilter::INFO))
+        .with_writer(std::io::stderr)
+        .with_ansi(false)
+        .without_time()
+        .init();
+    if level.is_err() {
+        tracing::warn!(wanted, "LOG_LEVEL is none of error, warn, info, debug, trace: using info");
+    }
+}
+
+pub fn run(arguments: impl Iterator<Item = OsString>) -> ExitCode {
+    let arguments = match Arguments::try_parse_from(arguments) {
+        Ok(arguments) => arguments,
+        Err(error) => {
+            // Printing can only fail when the stream is closed: nobody is left to tell.
+            let _ = error.print();
+            return ExitCode::from(error.exit_code().clamp(0, 255) as u8);
+        }
+    };
+    let Command::Serve { operator, config } = arguments.command;
+    let (settings, operator) = match load(config, operator) {
+        Ok(loaded) => loaded,
+        Err(error) => {
+            eprintln!("dockpier: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    start_logging();
+    match crate::server::run(settings, operator) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            tracing::error!(%error, "stopped");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/cloud.rs
@@ -0,0 +1,109 @@
+//! The client of the cloud.
+
+use crate::core::model::{MachineType, Resources};
+use crate::core::{ListedMachine, Outcome, StoredMachine};
+use crate::http::{Answer, CallError, Http};
+use crate::limits;
+use crate::wire::{Catalog, Names, Rental, Rentals};
+use reqwest::Method;
+use tracing::{debug, warn};
+
+#[derive(Clone)]
+pub struct Cloud {
+    http: Http,
+    base: String,
+}
+
+impl Cloud {
+    pub fn new(http: Http, address: std::net::SocketAddr) -> Self {
+        Cloud { http, base: format!("http://{address}") }
+    }
+
+    async fn call(&self, method: Method, path: &str, body: Option<Vec<u8>>) -> Result<Answer, CallError> {
+        self.http.call(method, &format!("{}{path}", self.base), body, limits::CLOUD_TIMEOUT).await
+    }
+
+    async fn read<T: for<'a> serde::Deserialize<'a>>(&self, path: &str) -> Option<T> {
+        match self.call(Method::GET, path, None).await {
+            Ok(answer) if answer.status == 200 => serde_json::from_slice(&answer.body)
+                .inspect_err(|error| warn!(path, %error, "malformed answer from the cloud"))
+                .ok(),
+            Ok(answer) => {
+                debug!(path, status = answer.status, "cloud refuses");
+                None
+            }
+            Err(error) => {
+                debug!(path, %error, "cloud");
+                None
+            }
+        }
+    }
+
+    pub async fn catalog(&self) -> Option<Catalog> {
+        self.read("/catalog").await
+    }
+
+    /// One page of the machine list, and whether more follow.
+    pub async fn page(&self, from: &str) -> Option<(Vec<ListedMachine>, bool)> {
+        let from = if from.is_empty() { String::new() } else { format!("from={from}&") };
+        let page: Rentals = self.read(&format!("/rentals?{from}limit={}", limits::LIST_PAGE)).await?;
+        let machines = page
+            .vessels
+            .into_iter()
+            .map(|v| ListedMachine {
+                failed: v.status == "failed",
+                age_s: v.age_s,
+                machine: StoredMachine {
+                    name: v.uid,
+                    machine_type: v.hull,
+                    zone: v.quay,
+                    spot: v.driftwood,
+                    address: v.address,
+                },
+            })
+            .collect();
+        Some((machines, page.has_next))
+    }
+
+    pub async fn rent(&self, rental: &Rental<'_>) -> (Outcome, Vec<String>) {
+        let Ok(body) = serde_json::to_vec(rental) else { return (Outcome::Refused, Vec::new()) };
+        match self.call(Method::POST, "/rentals", Some(body)).await {
+            Ok(a) if a.status == 200 => match serde_json::from_slice::<Names>(&a.body) {
+                Ok(names) => (Outcome::Done, names.vessels),
+                Err(_) => (Outcome::Unknown, Vec::new()),
+            },
+            // Too many requests or trouble at the cloud: not carried out, worth another try.
+            Ok(a) if a.status == 429 || is_trouble(&a) => (Outcome::Unknown, Vec::new()),
+            Ok(_) => (Outcome::Refused, Vec::new()),
+            Err(_) => (Outcome::Unknown, Vec::new()),
+        }
+    }
+
+    pub async fn delete(&self, names: &[String]) -> Outcome {
+        let Ok(body) = serde_json::to_vec(&Names { vessels: names.to_vec() }) else { return Outcome::Refused };
+        match self.call(Method::POST, "/rentals/delete", Some(body)).await {
+            Ok(a) if a.status == 200 => Outcome::Done,
+            Ok(_) => Outcome::Refused,
+            Err(_) => Outcome::Unknown,
+        }
+    }
+}
+
+fn is_trouble(answer: &Answer) -> bool {
+    answer.status == 503 && !String::from_utf8_lossy(&answer.body).contains("no capacity")
+}
+
+pub fn types(catalog: &Catalog) -> Vec<MachineType> {
+    catalog
+        .hulls
+        .iter()
+        .map(|h| MachineType {
+            name: h.label.clone(),
+            has: Resources::offered(h.cores, h.gpus, h.memory_gb),
+            price: h.hourly,
+            spot_price: h.spot_price,
+            boot_s: h.boot_s,
+            zones: h.quays.clone(),
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/core/elastic.rs
@@ -0,0 +1,354 @@
+//! The elastic pass of the paper (figures 2 and 3) with the changes of DESIGN-dockpier.md.
+//!
+//! Jobs are taken by aged priority, earlier first. One that waits starts at the smaller of its
+//! maximum width and the free slots, if that reaches its minimum. Otherwise lower jobs outside the
+//! rescale gap are shrunk, lowest first and never below their minimum, and only if together they
+//! free the newcomer's minimum; that room counts once the workers confirm.
+
+use super::model::{Job, Kind, Machine, Resources, TaskId, Uid};
+use super::place::{self, ZoneCount};
+use super::Core;
+use std::collections::BTreeMap;
+use tracing::debug;
+
+/// Free room per machine as a round fills it, and what is held back for critical services.
+pub struct Room {
+    free: BTreeMap<String, Resources>,
+}
+
+impl Core {
+    /// Aged rank: the priority class plus the share of a class that waiting has earned, in thousandths.
+    pub fn rank(&self, job: &Job) -> u64 {
+        let class = job.spec.priority as u64 * 1000;
+        if job.places.is_empty() {
+            let aging = crate::limits::micros(self.config.operator.aging_s).max(1);
+            class + (self.now.saturating_sub(job.arrived) * 1000 / aging).min(2_999)
+        } else {
+            class
+        }
+    }
+
+    fn in_gap(&self, job: &Job) -> bool {
+        job.rescaled > 0
+            && self.now < job.rescaled + crate::limits::micros(self.config.operator.rescale_gap_s)
+    }
+
+    /// The order of a round: highest aged priority first, earlier first on ties.
+    fn order(&self) -> Vec<Uid> {
+        let mut order: Vec<_> = self
+            .jobs
+            .values()
+            .filter(|j| !j.over && (!j.waiting.is_empty() || !j.places.is_empty()))
+            .map(|j| (std::cmp::Reverse(self.rank(j)), j.arrived, j.entry, j.spec.uid))
+            .collect();
+        order.sort();
+        order.into_iter().map(|(_, _, _, uid)| uid).collect()
+    }
+
+    /// One round within its budget of probes. What it could not reach is taken up by the next round.
+    pub fn round(&mut self) {
+        let order = self.order();
+        let mut room = Room {
+            free: self
+                .machines
+                .values()
+                .filter(|m| self.usable(m))
+                .map(|m| (m.name.clone(), m.free()))
+                .collect(),
+        };
+        let start = self.cursor.and_then(|uid| order.iter().position(|u| *u == uid)).unwrap_or(0);
+        self.cursor = None;
+        let mut probes = 0;
+        for uid in &order[start..] {
+            if probes >= self.config.round_probes {
+                self.cursor = Some(*uid);
+                debug!(job = %uid, "round out of budget, goes on here");
+                break;
+            }
+            probes += 1;
+            self.consider(*uid, &order, &mut room, &mut probes);
+        }
+        self.round_due = if self.cursor.is_some() { 0 } else { self.now + crate::limits::ROUND_IDLE };
+    }
+
+    fn wait(&mut self, uid: Uid, why: &'static str) {
+        if let Some(job) = self.jobs.get_mut(&uid) {
+            if job.waits_for != why {
+                debug!(job = %uid, why, waiting = job.waiting.len(), "waits");
+                job.waits_for = why;
+            }
+        }
+    }
+
+    fn consider(&mut self, uid: Uid, order: &[Uid], room: &mut Room, probes: &mut usize) {
+        let Some(job) = self.jobs.get(&uid) else { return };
+        if job.waiting.is_empty() {
+            return;
+        }
+        if job.paused_until > self.now {
+            return self.wait(uid, "its tasks failed");
+        }
+        // A task of an earlier leader's may be on a machine that has not reported yet.
+        if job.inherited && !self.all_settled() {
+            return self.wait(uid, "machines of the last leader have not reported");
+        }
+        let limited = self.team_limited(&job.spec.team);
+        if limited && !self.all_settled() {
+            return self.wait(uid, "team usage not known yet");
+        }
+        let held = job.places.len() as u32;
+        let running = held - self.stopping(job);
+        let fresh = held == 0;
+        // Width is kept without regard to the gap; growth beyond it waits for the gap to pass.
+        let target = if fresh || !self.in_gap(job) { job.unfinished() } else { job.width.max(job.minimum()) };
+        let want = target.saturating_sub(held).min(job.waiting.len() as u32);
+        if want == 0 {
+            return self.wait(uid, "rescale gap");
+        }
+        let want = if limited { want.min(self.team_room(job)) } else { want };
+        if want == 0 {
+            return self.wait(uid, "team limit");
+        }
+        let found = self.find(job, want, room, probes);
+        let minimum = job.minimum();
+        if held + found.len() as u32 >= minimum.min(held + want) && !found.is_empty()
+            // A service that has run keeps its width: each missing replica is replaced by itself.
+            || !found.is_empty() && job.spec.kind == Kind::Service && job.width > 0
+        {
+            if found.len() as u32 + running > job.width {
+                let now = self.now;
+                if let Some(job) = self.jobs.get_mut(&uid) {
+                    job.width = found.len() as u32 + running;
+                    job.rescaled = now;
+                }
+            }
+            for machine in found {
+                self.assign(uid, &machine, room);
+            }
+            let short = self.jobs.get(&uid).is_some_and(|j| !j.waiting.is_empty());
+            if short {
+                self.wait(uid, "no further free slot");
+            }
+            return;
+        }
+        let missing = minimum.saturating_sub(held).max(1).min(want);
+        self.shrink_for(uid, missing, order, room, probes);
+    }
+
+    /// Machines for up to `want` tasks of the job, the best ones first; an entry per task.
+    fn find(&self, job: &Job, want: u32, room: &Room, probes: &mut usize) -> Vec<String> {
+        let mut zones = ZoneCount::of(job, &self.machines);
+        let pinned = if job.spec.one_zone && job.places.is_empty() {
+            match self.best_zone(job, room) {
+                Some(zone) => Some(zone),
+                None => return Vec::new(),
+            }
+        } else {
+            None
+        };
+        let mut used: BTreeMap<&str, Resources> = BTreeMap::new();
+        let mut found = Vec::new();
+        let mut reserve = self.reserve_room(room, job);
+        while (found.len() as u32) < want && *probes < 2 * self.config.round_probes {
+            let mut best: Option<(_, &Machine)> = None;
+            for (name, free) in &room.free {
+                *probes += 1;
+                let Some(machine) = self.machines.get(name) else { continue };
+                let free = used.get(name.as_str()).unwrap_or(free);
+                if !job.spec.needs.fits(free)
+                    || !place::allowed(job, machine)
+                    || !zones.allows(job, &machine.zone)
+                    || pinned.as_ref().is_some_and(|z| *z != machine.zone)
+                    || !reserve.spares(machine, free, &job.spec.needs)
+                {
+                    continue;
+                }
+                let cost = place::cost(job, machine, free, &zones);
+                if best.as_ref().is_none_or(|(c, m)| (&cost, &machine.name) < (c, &m.name)) {
+                    best = Some((cost, machine));
+                }
+            }
+            let Some((_, machine)) = best else { break };
+            let free = used.get(machine.name.as_str()).copied().unwrap_or(room.free[&machine.name]);
+            reserve.take(machine, &free, &job.spec.needs);
+            used.insert(&machine.name, free.minus(&job.spec.needs));
+            zones.add(&machine.zone);
+            found.push(machine.name.clone());
+        }
+        found
+    }
+
+    /// The zone with most places for a job whose tasks must share one.
+    fn best_zone(&self, job: &Job, room: &Room) -> Option<String> {
+        let mut places: BTreeMap<&str, i64> = BTreeMap::new();
+        for (name, free) in &room.free {
+            if let Some(machine) = self.machines.get(name).filter(|m| place::allowed(job, m)) {
+                *places.entry(&machine.zone).or_default() +=
+                    job.spec.needs.count_in(free).min(i64::from(job.spec.tasks));
+            }
+        }
+        places.into_iter().filter(|(_, n)| *n > 0).max_by_key(|(_, n)| *n).map(|(z, _)| z.to_string())
+    }
+
+    /// Stops the newest tasks of lower jobs, lowest first, if together that frees `missing` slots.
+    fn shrink_for(&mut self, uid: Uid, missing: u32, order: &[Uid], room: &mut Room, probes: &mut usize) {
+        let Some(job) = self.jobs.get(&uid) else { return };
+        // Room that stops under way will free counts as found, so that nobody shrinks twice for it.
+        let mut soon = Room { free: BTreeMap::new() };
+        for name in room.free.keys() {
+            if let Some(machine) = self.machines.get(name) {
+                let pending = machine.free_soon().minus(&machine.free());
+                soon.free.insert(name.clone(), room.free[name].plus(&pending));
+            }
+        }
+        if self.find(job, missing, &soon, probes).len() as u32 >= missing {
+            // Hold the room for this job: nobody later in the round may take it.
+            for machine in self.find(job, missing, &soon, probes) {
+                if let Some(free) = room.free.get_mut(&machine) {
+                    *free = free.minus(&job.spec.needs);
+                }
+            }
+            return self.wait(uid, "stops under way");
+        }
+        let mut stops: Vec<(String, TaskId)> = Vec::new();
+        'jobs: for victim in order.iter().rev().filter_map(|v| self.jobs.get(v)) {
+            *probes += 1;
+            if self.in_gap(victim) || !self.may_preempt(job, victim) {
+                continue;
+            }
+            let mut running: Vec<_> = victim
+                .places
+                .iter()
+                .flat_map(|(task, names)| names.iter().map(move |n| (*task, n)))
+                .filter_map(|(task, name)| {
+                    let id = TaskId { uid: victim.spec.uid, task };
+                    let placed = self.machines.get(name)?.tasks.get(&id)?;
+                    placed.stopping.is_none().then_some((placed.since, id, name))
+                })
+                .collect();
+            running.sort();
+            while running.len() as u32 > victim.minimum() {
+                let Some((_, id, name)) = running.pop() else { break };
+                *probes += 1;
+                let Some(free) = soon.free.get_mut(name) else { continue };
+                let Some(machine) = self.machines.get(name) else { continue };
+                // A stop that cannot help the newcomer would be for nothing.
+                if !place::allowed(job, machine) {
+                    continue;
+                }
+                *free = free.plus(&victim.spec.needs);
+                stops.push((name.clone(), id));
+                if self.find(job, missing, &soon, probes).len() as u32 >= missing {
+                    break 'jobs;
+                }
+            }
+        }
+        let targets = self.find(job, missing, &soon, probes);
+        if (targets.len() as u32) < missing {
+            return self.wait(uid, "no free slot, and lower jobs cannot yield its minimum");
+        }
+        let needs = job.spec.needs;
+        // Stops on machines that the newcomer ends up not using would be for nothing.
+        stops.retain(|(name, _)| targets.contains(name));
+        for machine in &targets {
+            if let Some(free) = room.free.get_mut(machine) {
+                *free = free.minus(&needs);
+            }
+        }
+        for (machine, id) in stops {
+            debug!(task = %id, machine, newcomer = %uid, "shrink");
+            let now = self.now;
+            let grace = self.jobs.get(&id.uid).map_or(0.0, |j| j.spec.save_s);
+            if let Some(victim) = self.jobs.get_mut(&id.uid) {
+                victim.rescaled = now;
+                victim.width = victim.width.saturating_sub(1).max(victim.minimum());
+            }
+            self.stop(&machine, id, grace);
+        }
+        self.wait(uid, "stops under way");
+    }
+
+    /// PROTOCOL, Preemption: higher over lower priority; or a team inside its guarantee over what
+    /// another team runs beyond its own.
+    fn may_preempt(&self, job: &Job, victim: &Job) -> bool {
+        if victim.spec.uid == job.spec.uid || victim.spec.kind == Kind::Service {
+            return false;
+        }
+        let higher = job.spec.priority > victim.spec.priority;
+        let other_team = job.spec.team != victim.spec.team;
+        higher
+            || other_team
+                && self.within_guarantee(&job.spec.team, &job.spec.needs)
+                && !self.within_guarantee(&victim.spec.team, &Resources::default())
+    }
+
+    fn stopping(&self, job: &Job) -> u32 {
+        job.places
+            .iter()
+            .flat_map(|(task, names)| names.iter().map(move |n| (*task, n)))
+            .filter(|(task, name)| {
+                let id = TaskId { uid: job.spec.uid, task: *task };
+                self.machines
+                    .get(*name)
+                    .and_then(|m| m.tasks.get(&id))
+                    .is_some_and(|t| t.stopping.is_some())
+            })
+            .count() as u32
+    }
+
+    fn assign(&mut self, uid: Uid, machine: &str, room: &mut Room) {
+        let Some(job) = self.jobs.get_mut(&uid) else { return };
+        let Some(task) = job.waiting.pop_first() else { return };
+        job.places.entry(task).or_default().push(machine.into());
+        let needs = job.spec.needs;
+        if let Some(free) = room.free.get_mut(machine) {
+            *free = free.minus(&needs);
+        }
+        self.place_on(machine, TaskId { uid, task }, needs);
+    }
+
+    /// Room held back in each zone for critical services, against everyone else's tasks.
+    fn reserve_room(&self, room: &Room, job: &Job) -> Reserve {
+        let mut reserve = Reserve { shape: None, spare: BTreeMap::new() };
+        let Some(shape) = self.critical_shape() else { return reserve };
+        if job.spec.priority == super::model::Priority::Critical {
+            return reserve;
+        }
+        for (name, free) in &room.free {
+            if let Some(machine) = self.machines.get(name).filter(|m| !m.spot) {
+                *reserve.spare.entry(machine.zone.clone()).or_default() += shape.count_in(free);
+            }
+        }
+        let kept = i64::from(self.config.operator.reserve_tasks);
+        reserve.spare.values_mut().for_each(|n| *n -= kept);
+        reserve.shape = Some(shape);
+        reserve
+    }
+}
+
+struct Reserve {
+    shape: Option<Resources>,
+    /// Critical places in each zone beyond the reserve.
+    spare: BTreeMap<String, i64>,
+}
+
+impl Reserve {
+    fn cost(&self, free: &Resources, needs: &Resources) -> i64 {
+        self.shape.map_or(0, |s| s.count_in(free) - s.count_in(&free.minus(needs)))
+    }
+
+    fn spares(&self, machine: &Machine, free: &Resources, needs: &Resources) -> bool {
+        if self.shape.is_none() || machine.spot {
+            return true;
+        }
+        let cost = self.cost(free, needs);
+        cost <= 0 || cost <= self.spare.get(&machine.zone).copied().unwrap_or(0)
+    }
+
+    fn take(&mut self, machine: &Machine, free: &Resources, needs: &Resources) {
+        let cost = self.cost(free, needs);
+        if let (false, Some(spare)) = (machine.spot, self.spare.get_mut(&machine.zone)) {
+            *spare -= cost;
+        }
+    }
+}
--- /dev/null
+++ b/src/core/fleet.rs
@@ -0,0 +1,372 @@
+//! What to rent, keep, drain and return. Renting follows the queue.
+
+use super::model::*;
+use super::place::ZoneCount;
+use super::{Core, Effect, ListedMachine, Outcome};
+use crate::limits;
+use std::collections::{BTreeMap, BTreeSet};
+use tracing::{debug, info};
+
+/// One kind of machine that the cloud may have: type, zone, spot or not.
+pub type Offer = (String, String, bool);
+
+#[derive(Debug, Default)]
+pub struct Fleet {
+    due: u64,
+    requests: u64,
+    /// Requests without an answer yet, and how many machines each asks for.
+    pub renting: BTreeMap<u64, (Offer, u32)>,
+    /// Offers refused: when to ask again, and the pause after that.
+    refused: BTreeMap<Offer, (u64, u64)>,
+    /// Machines with stops to send directly.
+    pub direct: BTreeSet<String>,
+    /// Listed machines that a later list no longer shows: since when.
+    missing: BTreeMap<String, u64>,
+}
+
+impl Fleet {
+    pub fn new(now: u64) -> Self {
+        Fleet { due: now, ..Fleet::default() }
+    }
+}
+
+/// A machine that is not there yet, as the plan fills it.
+struct Planned {
+    offer: Offer,
+    room: Resources,
+    /// Present in the cloud already (booting or asked for).
+    coming: bool,
+    used: bool,
+}
+
+impl Core {
+    pub fn fleet_round(&mut self) {
+        if self.now < self.fleet.due {
+            return;
+        }
+        self.fleet.due = self.now + limits::FLEET_ROUND;
+        self.delete_lost();
+        // Before the machines of the last leader are known, every one of them would look missing.
+        if self.settled && !self.types.is_empty() {
+            self.plan();
+        }
+    }
+
+    fn offers(&self, job_type: impl Fn(&str) -> bool, zone: impl Fn(&str) -> bool, spot: bool) -> Vec<(f64, Offer)> {
+        let mut offers = Vec::new();
+        for t in self.types.values().filter(|t| job_type(&t.name)) {
+            for z in t.zones.iter().filter(|z| zone(z)) {
+                if let (true, Some(price)) = (spot, t.spot_price) {
+                    offers.push((price, (t.name.clone(), z.clone(), true)));
+                }
+                offers.push((t.price, (t.name.clone(), z.clone(), false)));
+            }
+        }
+        offers.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
+        offers
+    }
+
+    fn refused(&self, offer: &Offer) -> bool {
+        self.fleet.refused.get(offer).is_some_and(|(until, _)| self.now < *until)
+    }
+
+    /// Packs the queue and the reserve into what is free, what is coming, and then new machines.
+    fn plan(&mut self) {
+        let mut planned = self.coming();
+        let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
+        self.plan_queue(&mut planned, &mut wanted);
+        let kept = self.plan_reserve(&mut planned, &mut wanted);
+        for (offer, count) in wanted {
+            if self.fleet.renting.values().any(|(o, _)| *o == offer) {
+                continue;
+            }
+            let count = count.min(limits::RENT_MOST);
+            self.fleet.requests += 1;
+            let request = self.fleet.requests;
+            info!(request, machine_type = offer.0, zone = offer.1, spot = offer.2, count, "rent");
+            self.fleet.renting.insert(request, (offer.clone(), count));
+            let (machine_type, zone, spot) = offer;
+            self.effects.push(Effect::Rent { request, machine_type, zone, spot, count });
+        }
+        self.return_idle(&kept);
+    }
+
+    fn coming(&self) -> Vec<Planned> {
+        let booting = self
+            .machines
+            .values()
+            .filter(|m| m.phase == Phase::Expected && !m.deleting)
+            .map(|m| (m.machine_type.clone(), m.zone.clone(), m.spot));
+        let asked =
+            self.fleet.renting.values().flat_map(|(offer, n)| std::iter::repeat_n(offer.clone(), *n as usize));
+        booting
+            .chain(asked)
+            .filter_map(|offer| {
+                let room = self.types.get(&offer.0)?.has;
+                Some(Planned { offer, room, coming: true, used: false })
+            })
+            .collect()
+    }
+
+    fn plan_queue(&self, planned: &mut Vec<Planned>, wanted: &mut BTreeMap<Offer, u32>) {
+        let mut queue: Vec<&Job> = self
+            .jobs
+            .values()
+            .filter(|j| !j.over && !j.waiting.is_empty() && j.paused_until <= self.now)
+            .collect();
+        queue.sort_by_key(|j| (std::cmp::Reverse(self.rank(j)), j.arrived, j.spec.uid));
+        let mut probes = 0;
+        for job in queue {
+            let mut zones = ZoneCount::of(job, &self.machines);
+            let limited = self.team_limited(&job.spec.team);
+            let most = if limited { self.team_room(job) as usize } else { usize::MAX };
+            for _ in job.waiting.iter().take(most) {
+                probes += 1 + planned.len();
+                if probes > self.config.round_probes {
+                    return;
+                }
+                if !self.plan_task(job, &mut zones, planned, wanted) {
+                    break;
+                }
+            }
+        }
+    }
+
+    fn plan_task(
+        &self,
+        job: &Job,
+        zones: &mut ZoneCount,
+        planned: &mut Vec<Planned>,
+        wanted: &mut BTreeMap<Offer, u32>,
+    ) -> bool {
+        let needs = &job.spec.needs;
+        let takes = |p: &Planned, zones: &ZoneCount| {
+            needs.fits(&p.room)
+                && job.spec.allows_type(&p.offer.0)
+                && zones.allows(job, &p.offer.1)
+                && (!p.offer.2 || job.spec.spot)
+        };
+        if let Some(p) = planned.iter_mut().filter(|p| takes(p, zones)).min_by_key(|p| (!p.used, p.room.gpus)) {
+            p.room = p.room.minus(needs);
+            p.used = true;
+            zones.add(&p.offer.1);
+            return true;
+        }
+        let patient = self.now < job.arrived + limits::SPOT_PATIENCE;
+        let mut offers =
+            self.offers(|t| job.spec.allows_type(t), |z| zones.allows(job, z), job.spec.spot);
+        offers.retain(|(_, o)| {
+            self.types.get(&o.0).is_some_and(|t| needs.fits(&t.has)) && !(job.spec.spot && !o.2 && patient)
+        });
+        // Equal prices: the zone with fewer of the job's tasks, then the one with fewer machines.
+        let load = |o: &Offer| planned.iter().filter(|p| p.offer == *o).count();
+        let best = offers
+            .into_iter()
+            .filter(|(_, o)| !self.refused(o))
+            .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| (zones.get(&a.1 .1), load(&a.1)).cmp(&(zones.get(&b.1 .1), load(&b.1)))));
+        let Some((_, offer)) = best else { return false };
+        let Some(t) = self.types.get(&offer.0) else { return false };
+        zones.add(&offer.1);
+        *wanted.entry(offer.clone()).or_default() += 1;
+        planned.push(Planned { offer, room: t.has.minus(needs), coming: false, used: true });
+        true
+    }
+
+    /// Keeps places for critical services in each zone; returns the machines they rest on.
+    fn plan_reserve(&self, planned: &mut Vec<Planned>, wanted: &mut BTreeMap<Offer, u32>) -> BTreeSet<String> {
+        let mut kept = BTreeSet::new();
+        let Some(shape) = self.critical_shape() else { return kept };
+        for zone in &self.config.zones {
+            let mut open = i64::from(self.config.operator.reserve_tasks);
+            let mut here: Vec<(&Machine, i64)> = self
+                .machines
+                .values()
+                .filter(|m| self.usable(m) && !m.spot && m.zone == *zone)
+                .map(|m| (m, shape.count_in(&m.free())))
+                .filter(|(_, n)| *n > 0)
+                .collect();
+            // Places on machines that run something anyway cost nothing more.
+            here.sort_by_key(|(m, n)| (m.tasks.is_empty(), *n, m.name.clone()));
+            for (machine, places) in here {
+                if open > 0 {
+                    open -= places;
+                    kept.insert(machine.name.clone());
+                }
+            }
+            for p in planned.iter_mut().filter(|p| !p.offer.2 && p.offer.1 == *zone) {
+                let places = shape.count_in(&p.room);
+                if open > 0 && places > 0 {
+                    open -= places;
+                    p.used = true;
+                }
+            }
+            while open > 0 {
+                let offers = self.offers(|_| true, |z| z == zone, false);
+                let fits = offers.into_iter().find(|(_, o)| {
+                    !self.refused(o) && self.types.get(&o.0).is_some_and(|t| shape.fits(&t.has))
+                });
+                let Some((_, offer)) = fits else { break };
+                let Some(t) = self.types.get(&offer.0) else { break };
+                open -= shape.count_in(&t.has).max(1);
+                *wanted.entry(offer.clone()).or_default() += 1;
+                planned.push(Planned { offer, room: Resources::default(), coming: false, used: true });
+            }
+        }
+        kept
+    }
+
+    fn return_idle(&mut self, kept: &BTreeSet<String>) {
+        let now = self.now;
+        let operator = self.config.operator.clone();
+        let mut back = Vec::new();
+        for machine in self.machines.values_mut().filter(|m| m.phase == Phase::Up && !m.deleting) {
+            if !machine.tasks.is_empty() || !machine.foreign.is_empty() {
+                machine.idle_since = now;
+                continue;
+            }
+            // A result that is not committed yet is only here.
+            if !machine.exited.is_empty() {
+                continue;
+            }
+            let wait = if machine.spot { operator.idle_spot_s } else { operator.idle_s };
+            let idle = now >= machine.idle_since + limits::micros(wait) && !kept.contains(&machine.name);
+            if idle || machine.draining {
+                back.push(machine.name.clone());
+            }
+        }
+        self.delete(back, "idle");
+    }
+
+    /// Machines that are lost, failed to boot, or are silent while the others report.
+    fn delete_lost(&mut self) {
+        let now = self.now;
+        let silent = limits::silent(self.config.workers.report_s);
+        let grace = limits::worker_lease(self.config.workers.lease_s);
+        let up: Vec<&Machine> = self.machines.values().filter(|m| m.phase == Phase::Up).collect();
+        let quiet = |m: &&&Machine| now >= m.heard + silent;
+        let silent_now = up.iter().filter(quiet).count();
+        let ours = silent_now > 2 && silent_now as f64 > limits::SILENT_SHARE * up.len() as f64;
+        let mut back = Vec::new();
+        if !ours && now > self.started + grace {
+            back.extend(up.iter().filter(quiet).filter(|m| !m.deleting).map(|m| m.name.clone()));
+        }
+        for machine in self.machines.values().filter(|m| !m.deleting) {
+            let never_up = machine.phase == Phase::Expected && now >= machine.boot_give_up;
+            if never_up || machine.phase == Phase::Lost {
+                back.push(machine.name.clone());
+            }
+        }
+        self.delete(back, "lost, silent or never up");
+    }
+
+    fn delete(&mut self, names: Vec<String>, why: &str) {
+        for chunk in names.chunks(limits::DELETE_MOST) {
+            for name in chunk {
+                if let Some(machine) = self.machines.get_mut(name) {
+                    info!(machine = name, why, "return");
+                    machine.deleting = true;
+                }
+            }
+            self.effects.push(Effect::Delete(chunk.to_vec()));
+        }
+    }
+
+    pub fn deleted(&mut self, names: Vec<String>, outcome: Outcome) {
+        for name in names {
+            if outcome != Outcome::Done {
+                if let Some(machine) = self.machines.get_mut(&name) {
+                    machine.deleting = false;
+                }
+                continue;
+            }
+            // The cloud's 200 is proof: the machine and everything on it are gone.
+            self.clear_machine(&name);
+            if self.machines.remove(&name).is_some_and(|m| m.recorded || m.recording) {
+                self.effects.push(Effect::Unrecord(name));
+            }
+        }
+    }
+
+    pub fn rented(&mut self, request: u64, machines: Option<Vec<String>>, outcome: Outcome) {
+        let Some((offer, count)) = self.fleet.renting.remove(&request) else { return };
+        let names = machines.unwrap_or_default();
+        if outcome == Outcome::Refused || (names.len() as u32) < count {
+            let (_, pause) = self.fleet.refused.get(&offer).copied().unwrap_or((0, limits::REFUSED_PAUSE / 2));
+            let pause = (pause * 2).min(limits::REFUSED_PAUSE_MAX);
+            debug!(machine_type = offer.0, zone = offer.1, spot = offer.2, pause_s = pause / limits::SECOND, "refused");
+            self.fleet.refused.insert(offer.clone(), (self.now + pause, pause));
+        } else {
+            self.fleet.refused.remove(&offer);
+        }
+        for name in names {
+            let (machine_type, zone, spot) = offer.clone();
+            self.machine(&super::StoredMachine { name, machine_type, zone, spot, address: String::new() });
+        }
+    }
+
+    pub fn listed(&mut self, list: Vec<ListedMachine>) {
+        let mut shown = BTreeSet::new();
+        let mut failed = Vec::new();
+        for listed in list {
+            shown.insert(listed.machine.name.clone());
+            let known = self.machines.contains_key(&listed.machine.name);
+            if !known && self.loaded {
+                // A late rental, or one of an earlier leader's: used, or returned when idle.
+                debug!(machine = listed.machine.name, "listed and not known: adopted");
+                let now = self.now;
+                let machine = self.machine(&listed.machine);
+                let age = limits::micros(listed.age_s);
+                machine.boot_give_up = machine.boot_give_up.saturating_sub(age).max(now + 10 * limits::SECOND);
+            }
+            if listed.failed {
+                failed.push(listed.machine.name);
+            }
+        }
+        failed.retain(|n| self.machines.get(n).is_some_and(|m| !m.deleting));
+        self.delete(failed, "failed");
+        // Silent and missing from the lists for several lags: taken by the cloud.
+        let lag = limits::micros(self.config.list_lag_s * 4.0) + 10 * limits::SECOND;
+        let now = self.now;
+        let mut gone = Vec::new();
+        for machine in self.machines.values() {
+            let silent = now >= machine.heard + limits::silent(self.config.workers.report_s);
+            if shown.contains(&machine.name) || !silent || machine.deleting {
+                self.fleet.missing.remove(&machine.name);
+                continue;
+            }
+            let since = *self.fleet.missing.entry(machine.name.clone()).or_insert(now);
+            if now >= since + lag && now >= machine.known_since + lag {
+                gone.push(machine.name.clone());
+            }
+        }
+        self.delete(gone, "not listed any more");
+    }
+}
+
+impl Core {
+    /// For the operators' log: how the fleet stands.
+    pub fn fleet_line(&self) -> String {
+        let count = |f: &dyn Fn(&Machine) -> bool| self.machines.values().filter(|m| f(m)).count();
+        let waiting: usize = self.jobs.values().map(|j| j.waiting.len()).sum();
+        let placed: usize = self.machines.values().map(|m| m.tasks.len()).sum();
+        format!(
+            "ordinary {} spot {} expected {} lost {} tasks placed {} waiting {} jobs {}",
+            count(&|m| m.phase == Phase::Up && !m.spot),
+            count(&|m| m.phase == Phase::Up && m.spot),
+            count(&|m| m.phase == Phase::Expected),
+            count(&|m| m.phase == Phase::Lost),
+            placed,
+            waiting,
+            self.jobs.len()
+        )
+    }
+
+    /// Whether any machine could ever run the job: None while the types are not known.
+    pub fn fits_some_type(job: &JobSpec, types: &BTreeMap<String, MachineType>) -> bool {
+        types.values().any(|t| {
+            job.allows_type(&t.name)
+                && job.needs.fits(&t.has)
+                && t.zones.iter().any(|z| job.allows_zone(z))
+        })
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,462 @@
+//! The single owner of jobs, tasks, machines and blocks. Commands come in batches, effects go out.
+//! Pure: no I/O, no clock, no globals; the random numbers are seeded.
+
+pub mod elastic;
+pub mod fleet;
+pub mod model;
+pub mod place;
+pub mod reports;
+
+use crate::limits;
+use crate::settings::{Operator, Team, Workers};
+use fleet::Fleet;
+use model::*;
+use std::collections::{BTreeMap, BTreeSet};
+use tracing::{debug, info};
+
+#[derive(Debug, Clone)]
+pub struct Config {
+    pub token: u64,
+    pub operator: Operator,
+    pub workers: Workers,
+    pub teams: Vec<Team>,
+    pub zones: Vec<String>,
+    pub list_lag_s: f64,
+    pub round_probes: usize,
+}
+
+/// A job as the state service has it.
+#[derive(Debug, Clone)]
+pub struct StoredJob {
+    pub spec: JobSpec,
+    pub entry: u64,
+    pub done: BTreeSet<u32>,
+}
+
+/// A machine as the state service has it.
+#[derive(Debug, Clone)]
+pub struct StoredMachine {
+    pub name: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub address: String,
+}
+
+/// A machine as the cloud lists it: only ever a hint.
+#[derive(Debug, Clone)]
+pub struct ListedMachine {
+    pub machine: StoredMachine,
+    pub failed: bool,
+    pub age_s: f64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    Done,
+    Refused,
+    /// No answer: it may have been carried out, or may yet be.
+    Unknown,
+}
+
+#[derive(Debug)]
+pub enum Command {
+    /// What the state service held when this leader took over.
+    Load { jobs: Vec<StoredJob>, machines: Vec<StoredMachine> },
+    JobAdded(StoredJob),
+    JobRemoved(Uid),
+    /// A check-in; the answer goes out under this number.
+    Checkin { reply: u64, report: Report },
+    /// A worker's report in answer to a direct command.
+    OrdersAnswered(Report),
+    Committed { uid: Uid, tasks: BTreeSet<u32>, outcome: Outcome },
+    Finished { uid: Uid, outcome: Outcome },
+    Recorded { machine: String, outcome: Outcome },
+    Types(Vec<MachineType>),
+    Rented { request: u64, machines: Option<Vec<String>>, outcome: Outcome },
+    Deleted { machines: Vec<String>, outcome: Outcome },
+    Listed(Vec<ListedMachine>),
+}
+
+/// What a worker is told.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Order {
+    Start { id: TaskId, attempt: u64 },
+    Stop { id: TaskId, attempt: u64, grace_s: f64 },
+    Forget { id: TaskId, attempt: u64 },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    Answer {
+        reply: u64,
+        orders: Vec<Order>,
+    },
+    /// Stops sent straight to a worker, which then need not wait for its next report.
+    Direct {
+        machine: String,
+        address: String,
+        session: u64,
+        orders: Vec<Order>,
+    },
+    CommitDone {
+        uid: Uid,
+        entry: u64,
+        tasks: BTreeSet<u32>,
+        all_done: BTreeSet<u32>,
+    },
+    Finish {
+        uid: Uid,
+        entry: u64,
+        tasks: u32,
+    },
+    Record(StoredMachine),
+    Unrecord(String),
+    Rent {
+        request: u64,
+        machine_type: String,
+        zone: String,
+        spot: bool,
+        count: u32,
+    },
+    Delete(Vec<String>),
+    /// A worker has seen a higher token: somebody else leads.
+    Deposed(u64),
+}
+
+pub struct Core {
+    pub config: Config,
+    pub now: u64,
+    pub started: u64,
+    pub loaded: bool,
+    pub jobs: BTreeMap<Uid, Job>,
+    pub machines: BTreeMap<String, Machine>,
+    pub types: BTreeMap<String, MachineType>,
+    pub fleet: Fleet,
+    /// Where the last round of decisions stopped.
+    cursor: Option<Uid>,
+    round_due: u64,
+    news: bool,
+    attempts: u64,
+    /// All machines of earlier leaders are accounted for.
+    settled: bool,
+    effects: Vec<Effect>,
+}
+
+impl Core {
+    pub fn new(config: Config, now: u64) -> Self {
+        Core {
+            config,
+            now,
+            started: now,
+            loaded: false,
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            types: BTreeMap::new(),
+            fleet: Fleet::new(now),
+            cursor: None,
+            round_due: 0,
+            news: true,
+            attempts: 0,
+            settled: false,
+            effects: Vec::new(),
+        }
+    }
+
+    /// Takes a batch, decides within the budget, and says what is to be done.
+    pub fn step(&mut self, now: u64, batch: Vec<Command>) -> Vec<Effect> {
+        self.now = self.now.max(now);
+        let mut replies = Vec::new();
+        for command in batch {
+            self.take(command, &mut replies);
+        }
+        self.expire();
+        if self.loaded && (self.news || self.now >= self.round_due) {
+            self.news = false;
+            self.round();
+            self.commit_done();
+        }
+        if self.loaded {
+            self.fleet_round();
+            self.direct_stops();
+        }
+        for (reply, machine) in replies {
+            let orders = self.answer(&machine);
+            self.effects.push(Effect::Answer { reply, orders });
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    fn take(&mut self, command: Command, replies: &mut Vec<(u64, String)>) {
+        match command {
+            Command::Load { jobs, machines } => self.load(jobs, machines),
+            Command::JobAdded(stored) => self.add_job(stored, false),
+            Command::JobRemoved(uid) => self.remove_job(uid),
+            Command::Checkin { reply, report } => {
+                if report.token > self.config.token {
+                    self.effects.push(Effect::Deposed(report.token));
+                    return;
+                }
+                replies.push((reply, report.machine.clone()));
+                self.report(report, true);
+            }
+            Command::OrdersAnswered(report) => self.report(report, false),
+            Command::Committed { uid, tasks, outcome } => self.committed(uid, tasks, outcome),
+            Command::Finished { uid, outcome } => match outcome {
+                Outcome::Done => self.remove_job(uid),
+                // Withdrawn meanwhile, or of unknown outcome: its record decides, and is tried again.
+                _ => {
+                    if let Some(job) = self.jobs.get_mut(&uid) {
+                        job.committing = false;
+                    }
+                }
+            },
+            Command::Recorded { machine, outcome } => {
+                if let Some(machine) = self.machines.get_mut(&machine) {
+                    machine.recording = false;
+                    machine.recorded |= outcome == Outcome::Done;
+                }
+            }
+            Command::Types(types) => {
+                self.types = types.into_iter().map(|t| (t.name.clone(), t)).collect();
+                for machine in self.machines.values_mut() {
+                    if let Some(t) = self.types.get(&machine.machine_type) {
+                        machine.has = t.has;
+                    }
+                }
+            }
+            Command::Rented { request, machines, outcome } => self.rented(request, machines, outcome),
+            Command::Deleted { machines, outcome } => self.deleted(machines, outcome),
+            Command::Listed(list) => self.listed(list),
+        }
+        self.news = true;
+    }
+
+    fn load(&mut self, jobs: Vec<StoredJob>, machines: Vec<StoredMachine>) {
+        info!(jobs = jobs.len(), machines = machines.len(), "loaded");
+        for stored in jobs {
+            self.add_job(stored, true);
+        }
+        for stored in machines {
+            let machine = self.machine(&stored);
+            machine.recorded = true;
+        }
+        // Check-ins before this point were answered without being noted: leases count from here.
+        self.started = self.now;
+        self.loaded = true;
+    }
+
+    fn add_job(&mut self, stored: StoredJob, inherited: bool) {
+        let uid = stored.spec.uid;
+        if self.jobs.contains_key(&uid) {
+            return;
+        }
+        debug!(job = %uid, tasks = stored.spec.tasks, inherited, "job known");
+        let job = Job::new(stored.spec, stored.entry, self.now, inherited, stored.done);
+        self.jobs.insert(uid, job);
+    }
+
+    /// The job is over: nothing of it starts, and what runs is stopped.
+    fn remove_job(&mut self, uid: Uid) {
+        let Some(job) = self.jobs.get_mut(&uid) else { return };
+        job.over = true;
+        job.waiting.clear();
+        let places: Vec<_> =
+            job.places.iter().flat_map(|(t, names)| names.iter().map(|n| (*t, n.clone()))).collect();
+        for (task, machine) in places {
+            self.stop(&machine, TaskId { uid, task }, 0.0);
+        }
+        self.drop_if_over(uid);
+    }
+
+    fn drop_if_over(&mut self, uid: Uid) {
+        if self.jobs.get(&uid).is_some_and(|j| j.over && j.places.is_empty()) {
+            self.jobs.remove(&uid);
+        }
+    }
+
+    /// Reserves the place; the start goes out with the answer to the machine's next report.
+    fn place_on(&mut self, name: &str, id: TaskId, needs: Resources) {
+        // Attempts carry the token, so that no two leaders ever use one twice.
+        self.attempts += 1;
+        let attempt = (self.config.token << 32) | self.attempts;
+        let now = self.now;
+        if let Some(machine) = self.machines.get_mut(name) {
+            debug!(task = %id, machine = name, attempt, "place");
+            let placed = Placed {
+                attempt,
+                needs,
+                sent: None,
+                seen: false,
+                status: TaskStatus::Fetching,
+                since: now,
+                stopping: None,
+            };
+            machine.tasks.insert(id, placed);
+        }
+    }
+
+    fn stop(&mut self, name: &str, id: TaskId, grace_s: f64) {
+        let now = self.now;
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        let Some(placed) = machine.tasks.get_mut(&id) else { return };
+        if placed.sent.is_none() && !placed.seen {
+            // Its start has not left: it is provably nowhere.
+            machine.tasks.remove(&id);
+            self.unplace(name, id);
+            return;
+        }
+        // A later stop with less grace ends the saving.
+        let grace = placed.stopping.map_or(grace_s, |(_, g)| g.min(grace_s));
+        if placed.stopping.is_none_or(|(_, g)| g > grace) {
+            placed.stopping = Some((now, grace));
+            self.fleet.direct.insert(name.to_string());
+        }
+    }
+
+    /// The task is provably not on this machine any more.
+    fn unplace(&mut self, name: &str, id: TaskId) {
+        let Some(job) = self.jobs.get_mut(&id.uid) else { return };
+        if let Some(names) = job.places.get_mut(&id.task) {
+            names.retain(|n| n != name);
+            if names.is_empty() {
+                job.places.remove(&id.task);
+                if !job.over && !job.done.contains(&id.task) {
+                    job.waiting.insert(id.task);
+                }
+            }
+        }
+        self.drop_if_over(id.uid);
+    }
+
+    /// Everything on the machine is gone.
+    fn clear_machine(&mut self, name: &str) {
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        let tasks: Vec<_> = std::mem::take(&mut machine.tasks).into_keys().collect();
+        machine.exited.clear();
+        machine.foreign.clear();
+        for id in tasks {
+            self.unplace(name, id);
+        }
+    }
+
+    pub fn usable(&self, machine: &Machine) -> bool {
+        machine.phase == Phase::Up
+            && machine.settled
+            && machine.recorded
+            && !machine.draining
+            && !machine.deleting
+            && machine.recall_at.is_none()
+            && machine.foreign.is_empty()
+            && machine.no_room_until <= self.now
+            && self.now < machine.heard + limits::silent(self.config.workers.report_s)
+    }
+
+    /// Whether every machine that an earlier leader may have used is accounted for.
+    pub fn all_settled(&self) -> bool {
+        self.settled
+    }
+
+    fn expire(&mut self) {
+        let lease = limits::worker_lease(self.config.workers.lease_s);
+        let now = self.now;
+        let ended: Vec<String> = self
+            .machines
+            .values()
+            .filter(|m| m.phase != Phase::Lost && now >= m.answered.max(self.started) + lease)
+            .filter(|m| m.phase == Phase::Up || !m.tasks.is_empty() || (m.recorded && !m.settled))
+            .map(|m| m.name.clone())
+            .collect();
+        for name in ended {
+            info!(machine = name, "lease ended: everything on it is gone");
+            self.clear_machine(&name);
+            if let Some(machine) = self.machines.get_mut(&name) {
+                machine.phase = Phase::Lost;
+                machine.settled = true;
+            }
+            self.news = true;
+        }
+        if !self.settled && self.loaded {
+            let open = |m: &&Machine| m.recorded && !m.settled;
+            self.settled =
+                now >= self.started + lease || self.machines.values().filter(open).count() == 0;
+            if self.settled {
+                info!(after_ms = (now - self.started) / 1000, "all machines of earlier leaders settled");
+                self.news = true;
+            }
+        }
+    }
+
+    // ---- teams ----
+
+    fn team(&self, name: &str) -> Option<&Team> {
+        self.config.teams.iter().find(|t| t.name == name)
+    }
+
+    fn team_limited(&self, name: &str) -> bool {
+        self.team(name).is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0)
+    }
+
+    /// Everything that is, or may be, on a machine for this team.
+    fn team_usage(&self, name: &str) -> Resources {
+        let tasks = self.machines.values().flat_map(|m| &m.tasks);
+        tasks
+            .filter(|(id, _)| self.jobs.get(&id.uid).is_some_and(|j| j.spec.team == name))
+            .fold(Resources::default(), |sum, (_, t)| sum.plus(&t.needs))
+    }
+
+    /// How many more tasks of the job its team's limit allows.
+    fn team_room(&self, job: &Job) -> u32 {
+        let Some(team) = self.team(&job.spec.team) else { return 0 };
+        // A task of a job that is over and unknown here may be anybody's.
+        if self.machines.values().any(|m| !m.foreign.is_empty()) {
+            return 0;
+        }
+        let most = |limit: f64| if limit > 0.0 { limit } else { f64::from(u32::MAX) };
+        let limit = Resources {
+            memory: i64::MAX / 2,
+            ..Resources::offered(most(team.cpus_max), most(team.gpus_max), 0.0)
+        };
+        let room = limit.minus(&self.team_usage(&team.name));
+        job.spec.needs.count_in(&room).clamp(0, i64::from(u32::MAX)) as u32
+    }
+
+    /// Whether the team's present use and `more` fit its guarantee; a guarantee of 0 is none.
+    fn within_guarantee(&self, name: &str, more: &Resources) -> bool {
+        let Some(team) = self.team(name) else { return false };
+        if team.cpus <= 0.0 && team.gpus <= 0.0 {
+            return false;
+        }
+        let used = self.team_usage(name).plus(more);
+        let has = Resources::offered(team.cpus, team.gpus, 0.0);
+        used.cpus <= has.cpus && used.gpus <= has.gpus
+    }
+
+    /// The largest shape among critical jobs: what a reserved place must hold.
+    fn critical_shape(&self) -> Option<Resources> {
+        let critical =
+            self.jobs.values().filter(|j| j.spec.priority == Priority::Critical).map(|j| j.spec.needs);
+        critical.reduce(|a, b| Resources {
+            cpus: a.cpus.max(b.cpus),
+            gpus: a.gpus.max(b.gpus),
+            memory: a.memory.max(b.memory),
+        })
+    }
+
+    /// (job, finished tasks, running tasks) for display.
+    pub fn summary(&self) -> Vec<(Uid, u32, u32)> {
+        let running = |job: &Job| {
+            let on = |(task, names): (&u32, &Vec<String>)| {
+                let id = TaskId { uid: job.spec.uid, task: *task };
+                names.iter().any(|n| {
+                    self.machines
+                        .get(n)
+                        .and_then(|m| m.tasks.get(&id))
+                        .is_some_and(|t| t.status == TaskStatus::Running)
+                })
+            };
+            job.places.iter().filter(|p| on(*p)).count() as u32
+        };
+        self.jobs.values().filter(|j| !j.over).map(|j| (j.spec.uid, j.done.len() as u32, running(j))).collect()
+    }
+}
--- /dev/null
+++ b/src/core/model.rs
@@ -0,0 +1,322 @@
+//! The domain: jobs, tasks, machines, and what is told about them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+/// A job id, always `job-` and a number of at least six digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Uid(pub u64);
+
+impl Uid {
+    /// Only the canonical form is an id: two spellings of one number would be two ids to a user.
+    pub fn parse(text: &str) -> Option<Uid> {
+        let digits = text.strip_prefix("job-")?;
+        let plain = digits.len() >= 6 && digits.bytes().all(|b| b.is_ascii_digit());
+        let canonical = plain && (digits.len() == 6 || !digits.starts_with('0'));
+        canonical.then(|| digits.parse().ok()).flatten().map(Uid)
+    }
+}
+
+impl fmt::Display for Uid {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "job-{:06}", self.0)
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    pub uid: Uid,
+    pub task: u32,
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.uid, self.task)
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    Array,
+    Service,
+}
+
+/// Lowest first, so that a larger value is the more important one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Priority {
+    Low,
+    Normal,
+    High,
+    Critical,
+}
+
+/// Amounts in thousandths (memory in MB), so that sums are exact.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Resources {
+    pub cpus: i64,
+    pub gpus: i64,
+    pub memory: i64,
+}
+
+impl Resources {
+    /// What a task needs, rounded up: room must never be found where the worker sees none.
+    pub fn needed(cpus: f64, gpus: f64, memory_gb: f64) -> Self {
+        let up = |v: f64| (v * 1000.0 - 1e-6).ceil() as i64;
+        Resources { cpus: up(cpus), gpus: up(gpus), memory: up(memory_gb) }
+    }
+
+    /// What a machine has, rounded down.
+    pub fn offered(cpus: f64, gpus: f64, memory_gb: f64) -> Self {
+        let down = |v: f64| (v * 1000.0 + 1e-6).floor() as i64;
+        Resources { cpus: down(cpus), gpus: down(gpus), memory: down(memory_gb) }
+    }
+
+    pub fn fits(&self, room: &Resources) -> bool {
+        self.cpus <= room.cpus && self.gpus <= room.gpus && self.memory <= room.memory
+    }
+
+    pub fn plus(&self, o: &Resources) -> Self {
+        Resources { cpus: self.cpus + o.cpus, gpus: self.gpus + o.gpus, memory: self.memory + o.memory }
+    }
+
+    pub fn minus(&self, o: &Resources) -> Self {
+        Resources { cpus: self.cpus - o.cpus, gpus: self.gpus - o.gpus, memory: self.memory - o.memory }
+    }
+
+    pub fn times(&self, n: i64) -> Self {
+        Resources { cpus: self.cpus * n, gpus: self.gpus * n, memory: self.memory * n }
+    }
+
+    /// How many tasks of this size fit into `room`.
+    pub fn count_in(&self, room: &Resources) -> i64 {
+        let one = |need: i64, has: i64| if need <= 0 { i64::MAX } else { (has / need).max(0) };
+        one(self.cpus, room.cpus).min(one(self.gpus, room.gpus)).min(one(self.memory, room.memory))
+    }
+}
+
+/// A job as submitted.
+#[derive(Debug, Clone, PartialEq)]
+pub struct JobSpec {
+    pub uid: Uid,
+    pub class: String,
+    pub team: String,
+    pub kind: Kind,
+    pub priority: Priority,
+    pub tasks: u32,
+    pub needs: Resources,
+    pub image: String,
+    pub image_gb: f64,
+    pub types: Option<Vec<String>>,
+    pub zone: Option<String>,
+    pub one_zone: bool,
+    pub spread: bool,
+    pub spot: bool,
+    pub estimate_s: f64,
+    pub checkpoint_s: f64,
+    pub save_s: f64,
+    pub deadline_s: Option<f64>,
+}
+
+impl JobSpec {
+    /// The most tasks that one zone may hold.
+    pub fn zone_most(&self) -> u32 {
+        if self.spread {
+            self.tasks.div_ceil(2)
+        } else {
+            self.tasks
+        }
+    }
+
+    pub fn allows_type(&self, name: &str) -> bool {
+        self.types.as_ref().is_none_or(|types| types.iter().any(|t| t == name))
+    }
+
+    pub fn allows_zone(&self, zone: &str) -> bool {
+        self.zone.as_deref().is_none_or(|z| z == zone)
+    }
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct MachineType {
+    pub name: String,
+    pub has: Resources,
+    pub price: f64,
+    pub spot_price: Option<f64>,
+    pub boot_s: f64,
+    pub zones: Vec<String>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cause {
+    Done,
+    Stopped,
+    Error,
+    NoRoom,
+    Busy,
+    Unknown,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TaskStatus {
+    Fetching,
+    Running,
+    Saving,
+    Exited(Cause),
+}
+
+/// A worker's report.
+#[derive(Debug, Clone)]
+pub struct Report {
+    pub machine: String,
+    pub address: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub session: u64,
+    pub seq: u64,
+    pub token: u64,
+    pub notice_s: Option<f64>,
+    pub tasks: Vec<ReportedTask>,
+}
+
+#[derive(Debug, Clone)]
+pub struct ReportedTask {
+    pub id: TaskId,
+    pub attempt: u64,
+    pub status: TaskStatus,
+}
+
+/// A task that is, or may be, on a machine.
+#[derive(Debug, Clone)]
+pub struct Placed {
+    pub attempt: u64,
+    pub needs: Resources,
+    /// (session, seq) of the report whose answer bore the start; None until the answer is made.
+    pub sent: Option<(u64, u64)>,
+    /// Whether a report has listed it.
+    pub seen: bool,
+    pub status: TaskStatus,
+    /// When this leader placed or first saw it: a shrink stops the newest.
+    pub since: u64,
+    /// When a stop was first asked for, and its grace.
+    pub stopping: Option<(u64, f64)>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Rented or listed; its worker has not reported to this leader.
+    Expected,
+    /// Its worker reports.
+    Up,
+    /// Its lease has ended or it is gone: it holds nothing.
+    Lost,
+}
+
+#[derive(Debug, Clone)]
+pub struct Machine {
+    pub name: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub address: String,
+    pub has: Resources,
+    pub phase: Phase,
+    pub session: u64,
+    pub seq: u64,
+    /// A report has stated this leader's token: the task list is exact.
+    pub settled: bool,
+    /// Its record is in the state service, so that a later leader knows to wait for it.
+    pub recorded: bool,
+    pub recording: bool,
+    pub heard: u64,
+    /// The last time an answer may have renewed its lease.
+    pub answered: u64,
+    pub tasks: BTreeMap<TaskId, Placed>,
+    /// Exited tasks still listed: (task, attempt) -> cause.
+    pub exited: BTreeMap<(TaskId, u64), Cause>,
+    /// Tasks of jobs that this leader does not know, to be stopped: (task, attempt).
+    pub foreign: BTreeSet<(TaskId, u64)>,
+    pub images: BTreeSet<String>,
+    /// When the cloud takes it away.
+    pub recall_at: Option<u64>,
+    pub draining: bool,
+    pub deleting: bool,
+    pub errors: BTreeSet<Uid>,
+    pub no_room_until: u64,
+    pub idle_since: u64,
+    pub known_since: u64,
+    pub boot_give_up: u64,
+}
+
+impl Machine {
+    pub fn free(&self) -> Resources {
+        self.tasks.values().fold(self.has, |room, t| room.minus(&t.needs))
+    }
+
+    /// Room once every stop under way is confirmed.
+    pub fn free_soon(&self) -> Resources {
+        self.tasks.values().filter(|t| t.stopping.is_none()).fold(self.has, |room, t| room.minus(&t.needs))
+    }
+}
+
+#[derive(Debug, Clone)]
+pub struct Job {
+    pub spec: JobSpec,
+    /// When this leader learnt of it: ages and order of arrival count from here.
+    pub arrived: u64,
+    /// Version of its record.
+    pub entry: u64,
+    /// It may have been started by an earlier leader.
+    pub inherited: bool,
+    pub waiting: BTreeSet<u32>,
+    /// Machines that hold, or may hold, each task.
+    pub places: BTreeMap<u32, Vec<String>>,
+    pub done: BTreeSet<u32>,
+    /// Finished tasks not yet in the state service.
+    pub uncommitted: BTreeSet<u32>,
+    pub committing: bool,
+    /// Withdrawn or otherwise over: its tasks are stopped, nothing starts.
+    pub over: bool,
+    /// The last change of its width.
+    pub rescaled: u64,
+    /// The width that it was last given.
+    pub width: u32,
+    pub errors: u32,
+    pub paused_until: u64,
+    /// Why it waits, for the operators.
+    pub waits_for: &'static str,
+}
+
+impl Job {
+    pub fn new(spec: JobSpec, entry: u64, now: u64, inherited: bool, done: BTreeSet<u32>) -> Self {
+        let waiting = (0..spec.tasks).filter(|t| !done.contains(t)).collect();
+        Job {
+            spec,
+            arrived: now,
+            entry,
+            inherited,
+            waiting,
+            places: BTreeMap::new(),
+            done,
+            uncommitted: BTreeSet::new(),
+            committing: false,
+            over: false,
+            rescaled: 0,
+            width: 0,
+            errors: 0,
+            paused_until: 0,
+            waits_for: "",
+        }
+    }
+
+    pub fn unfinished(&self) -> u32 {
+        self.spec.tasks - self.done.len() as u32
+    }
+
+    pub fn minimum(&self) -> u32 {
+        match self.spec.kind {
+            Kind::Array => 1.min(self.unfinished()),
+            Kind::Service => self.spec.tasks,
+        }
+    }
+}
--- /dev/null
+++ b/src/core/place.rs
@@ -0,0 +1,55 @@
+//! Choosing a machine for one task. Slots are places that fit the task, not a plain number.
+
+use super::model::{Job, Machine, Priority, Resources};
+use std::collections::BTreeMap;
+
+/// How the tasks of one job lie over the zones, every place where one may be included.
+#[derive(Debug, Clone, Default)]
+pub struct ZoneCount(BTreeMap<String, u32>);
+
+impl ZoneCount {
+    pub fn of(job: &Job, machines: &BTreeMap<String, Machine>) -> Self {
+        let mut count = ZoneCount::default();
+        for machine in job.places.values().flatten().filter_map(|name| machines.get(name)) {
+            count.add(&machine.zone);
+        }
+        count
+    }
+
+    pub fn add(&mut self, zone: &str) {
+        *self.0.entry(zone.into()).or_default() += 1;
+    }
+
+    pub fn get(&self, zone: &str) -> u32 {
+        self.0.get(zone).copied().unwrap_or(0)
+    }
+
+    /// Whether the zone rules of the job allow one more task there.
+    pub fn allows(&self, job: &Job, zone: &str) -> bool {
+        if !job.spec.allows_zone(zone) || self.get(zone) >= job.spec.zone_most() {
+            return false;
+        }
+        !job.spec.one_zone || self.0.iter().all(|(other, n)| *n == 0 || other == zone)
+    }
+}
+
+/// Whether the job may ever use this machine, its present room and the other tasks aside.
+pub fn allowed(job: &Job, machine: &Machine) -> bool {
+    job.spec.allows_type(&machine.machine_type)
+        && job.spec.allows_zone(&machine.zone)
+        && (!machine.spot || job.spec.spot)
+}
+
+/// Smaller is better. Work that may use spot machines leaves the ordinary ones to those that may
+/// not; a warm image saves the fetch; full machines are filled first so that others empty.
+pub fn cost(job: &Job, machine: &Machine, room: &Resources, zones: &ZoneCount) -> (u32, u32, u32, i64) {
+    let kind = u32::from(job.spec.spot && !machine.spot);
+    let cold = u32::from(!machine.images.contains(&job.spec.image));
+    let left = room.minus(&job.spec.needs);
+    let emptiness = left.gpus * 1000 + left.cpus;
+    if job.spec.priority == Priority::Critical {
+        (kind, cold, zones.get(&machine.zone), emptiness)
+    } else {
+        (kind, cold, 0, emptiness)
+    }
+}
--- /dev/null
+++ b/src/core/reports.rs
@@ -0,0 +1,379 @@
+//! What workers report, and what they are told.
+
+use super::model::*;
+use super::{Core, Effect, Order, Outcome, StoredMachine};
+use crate::limits;
+use std::collections::{BTreeMap, BTreeSet};
+use tracing::{debug, info, warn};
+
+impl Core {
+    /// The machine of this name, made known if it is new.
+    pub fn machine(&mut self, stored: &StoredMachine) -> &mut Machine {
+        let type_known = self.types.get(&stored.machine_type);
+        let has = type_known.map(|t| t.has).unwrap_or_default();
+        let boot = type_known.map_or(60.0, |t| t.boot_s) * limits::BOOT_GIVE_UP;
+        let now = self.now;
+        self.machines.entry(stored.name.clone()).or_insert_with(|| Machine {
+            name: stored.name.clone(),
+            machine_type: stored.machine_type.clone(),
+            zone: stored.zone.clone(),
+            spot: stored.spot,
+            address: stored.address.clone(),
+            has,
+            phase: Phase::Expected,
+            session: 0,
+            seq: 0,
+            settled: false,
+            recorded: false,
+            recording: false,
+            heard: 0,
+            answered: 0,
+            tasks: BTreeMap::new(),
+            exited: BTreeMap::new(),
+            foreign: BTreeSet::new(),
+            images: BTreeSet::new(),
+            recall_at: None,
+            draining: false,
+            deleting: false,
+            errors: BTreeSet::new(),
+            no_room_until: 0,
+            idle_since: now,
+            known_since: now,
+            boot_give_up: now + limits::micros(boot),
+        })
+    }
+
+    /// Takes in a task list. `checkin`: it came as a check-in, which proves that the answer to the
+    /// one before was carried out or dropped; an answer to direct commands proves no such thing.
+    pub fn report(&mut self, report: Report, checkin: bool) {
+        if !self.loaded {
+            return;
+        }
+        let stored = StoredMachine {
+            name: report.machine.clone(),
+            machine_type: report.machine_type.clone(),
+            zone: report.zone.clone(),
+            spot: report.spot,
+            address: report.address.clone(),
+        };
+        let (now, token) = (self.now, self.config.token);
+        let machine = self.machine(&stored);
+        // Held messages arrive late and out of order: only the newest list counts.
+        if (report.session, report.seq) <= (machine.session, machine.seq) {
+            debug!(machine = report.machine, "late report ignored");
+            return;
+        }
+        if report.session > machine.session {
+            if machine.session > 0 {
+                info!(machine = report.machine, session = report.session, "new session: all its tasks are gone");
+            }
+            // Whatever an earlier session held died with its lease.
+            self.clear_machine(&report.machine);
+        }
+        let Some(machine) = self.machines.get_mut(&report.machine) else { return };
+        machine.session = report.session;
+        machine.seq = report.seq;
+        machine.address = report.address;
+        if checkin {
+            machine.heard = now;
+            if machine.phase != Phase::Up {
+                info!(machine = report.machine, zone = machine.zone, spot = machine.spot, "machine up");
+                machine.idle_since = now;
+                machine.phase = Phase::Up;
+            }
+        }
+        machine.settled |= report.token == token;
+        machine.recall_at = report.notice_s.map(|s| now + limits::micros(s));
+        let listed = self.take_listed(&report.machine, &report.tasks);
+        self.drop_unlisted(&report.machine, &listed, (report.session, report.seq), checkin);
+        if report.notice_s.is_some() {
+            self.drain_for_notice(&report.machine);
+        }
+        if !self.machines[&report.machine].recorded {
+            self.record(&report.machine);
+        }
+    }
+
+    /// Updates what the report lists and returns its living (task, attempt) pairs.
+    fn take_listed(&mut self, name: &str, tasks: &[ReportedTask]) -> BTreeSet<(TaskId, u64)> {
+        let mut living = BTreeSet::new();
+        let mut exited = BTreeSet::new();
+        let mut foreign = BTreeSet::new();
+        for task in tasks {
+            if let TaskStatus::Exited(cause) = task.status {
+                exited.insert((task.id, task.attempt));
+                self.take_exit(name, task.id, task.attempt, cause);
+                continue;
+            }
+            living.insert((task.id, task.attempt));
+            let known = self.jobs.get(&task.id.uid).map(|j| (j.spec.needs, j.over, j.spec.image.clone()));
+            let Some((needs, over, image)) = known else {
+                foreign.insert((task.id, task.attempt));
+                continue;
+            };
+            let now = self.now;
+            let Some(machine) = self.machines.get_mut(name) else { break };
+            if task.status == TaskStatus::Running {
+                machine.images.insert(image);
+            }
+            match machine.tasks.get_mut(&task.id) {
+                Some(placed) if placed.attempt == task.attempt || !placed.seen => {
+                    placed.attempt = task.attempt;
+                    placed.seen = true;
+                    placed.status = task.status;
+                }
+                // Two attempts of one task on one machine are ruled out by the worker.
+                Some(_) => {}
+                None => {
+                    let placed = Placed {
+                        attempt: task.attempt,
+                        needs,
+                        sent: None,
+                        seen: true,
+                        status: task.status,
+                        since: now,
+                        stopping: None,
+                    };
+                    machine.tasks.insert(task.id, placed);
+                    self.adopt(name, task.id, over);
+                }
+            }
+        }
+        if let Some(machine) = self.machines.get_mut(name) {
+            machine.exited.retain(|key, _| exited.contains(key));
+            machine.foreign = foreign;
+        }
+        living
+    }
+
+    /// A task that an earlier leader started here.
+    fn adopt(&mut self, name: &str, id: TaskId, over: bool) {
+        let Some(job) = self.jobs.get_mut(&id.uid) else { return };
+        let elsewhere = job.places.get(&id.task).is_some_and(|n| !n.is_empty());
+        let finished = job.done.contains(&id.task) || id.task >= job.spec.tasks;
+        job.waiting.remove(&id.task);
+        let names = job.places.entry(id.task).or_default();
+        if !names.iter().any(|n| n == name) {
+            names.push(name.into());
+        }
+        let held = job.places.len() as u32;
+        job.width = job.width.max(held);
+        if elsewhere {
+            warn!(task = %id, machine = name, "a task is on two machines; stopping this one");
+        }
+        if over || elsewhere || finished {
+            self.stop(name, id, 0.0);
+        }
+    }
+
+    fn take_exit(&mut self, name: &str, id: TaskId, attempt: u64, cause: Cause) {
+        let now = self.now;
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        let news = machine.exited.insert((id, attempt), cause).is_none();
+        let held = machine.tasks.get(&id).is_some_and(|t| t.attempt == attempt);
+        let intended = machine.tasks.get(&id).is_some_and(|t| t.stopping.is_some());
+        if held {
+            machine.tasks.remove(&id);
+            self.unplace(name, id);
+        }
+        if !news {
+            return;
+        }
+        if cause != Cause::Done && cause != Cause::Stopped {
+            info!(task = %id, machine = name, ?cause, "task did not run to its end");
+        }
+        match cause {
+            Cause::Done => {
+                if let Some(job) = self.jobs.get_mut(&id.uid).filter(|j| !j.over && id.task < j.spec.tasks) {
+                    if job.spec.kind == Kind::Array && job.done.insert(id.task) {
+                        job.waiting.remove(&id.task);
+                        job.uncommitted.insert(id.task);
+                        job.errors = 0;
+                    }
+                }
+            }
+            Cause::Error | Cause::Unknown if !intended => {
+                if let Some(job) = self.jobs.get_mut(&id.uid) {
+                    // A job that fails everywhere must not loop hot.
+                    job.errors += 1;
+                    let pause = limits::JOB_PAUSE << (job.errors - 1).min(10);
+                    job.paused_until = now + pause.min(limits::JOB_PAUSE_MAX);
+                }
+                if let Some(machine) = self.machines.get_mut(name).filter(|_| cause == Cause::Error) {
+                    machine.errors.insert(id.uid);
+                    if machine.errors.len() as u32 >= limits::MACHINE_ERRORS && !machine.draining {
+                        warn!(machine = name, "tasks of different jobs fail on it: replacing it");
+                        machine.draining = true;
+                    } else {
+                        // Other machines first: mostly the machine is at fault.
+                        machine.no_room_until = now + limits::NO_ROOM_PAUSE;
+                    }
+                }
+            }
+            Cause::NoRoom | Cause::Busy => {
+                if let Some(machine) = self.machines.get_mut(name) {
+                    machine.no_room_until = now + limits::NO_ROOM_PAUSE;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Places that the report disproves.
+    fn drop_unlisted(
+        &mut self,
+        name: &str,
+        listed: &BTreeSet<(TaskId, u64)>,
+        newest: (u64, u64),
+        checkin: bool,
+    ) {
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        let gone: Vec<TaskId> = machine
+            .tasks
+            .iter()
+            .filter(|(id, t)| !listed.contains(&(**id, t.attempt)))
+            // A start whose answer is still under way is only disproved by the next check-in.
+            .filter(|(_, t)| t.seen || checkin && t.sent.is_some_and(|sent| newest > sent))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in gone {
+            debug!(task = %id, machine = name, "not on the machine any more");
+            if let Some(machine) = self.machines.get_mut(name) {
+                machine.tasks.remove(&id);
+            }
+            self.unplace(name, id);
+        }
+    }
+
+    /// The cloud will take the machine: tasks that can save are stopped in time to do so, the others
+    /// may still finish.
+    fn drain_for_notice(&mut self, name: &str) {
+        let Some(machine) = self.machines.get(name) else { return };
+        let Some(recall_at) = machine.recall_at else { return };
+        let left_s = recall_at.saturating_sub(self.now) as f64 / limits::SECOND as f64;
+        let stops: Vec<_> = machine
+            .tasks
+            .keys()
+            .filter_map(|id| self.jobs.get(&id.uid).map(|j| (*id, j)))
+            .filter(|(_, job)| {
+                let saves = job.spec.checkpoint_s > 0.0;
+                job.spec.kind == Kind::Service || saves && left_s <= job.spec.save_s + limits::RECALL_SLACK_S
+            })
+            .map(|(id, job)| (id, job.spec.save_s))
+            .collect();
+        for (id, grace) in stops {
+            self.stop(name, id, grace);
+        }
+    }
+
+    fn record(&mut self, name: &str) {
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        if machine.recording {
+            return;
+        }
+        machine.recording = true;
+        let stored = StoredMachine {
+            name: machine.name.clone(),
+            machine_type: machine.machine_type.clone(),
+            zone: machine.zone.clone(),
+            spot: machine.spot,
+            address: machine.address.clone(),
+        };
+        self.effects.push(Effect::Record(stored));
+    }
+
+    fn stop_orders(machine: &Machine) -> impl Iterator<Item = Order> + '_ {
+        let own = machine.tasks.iter().filter_map(|(id, t)| {
+            t.stopping.map(|(_, grace_s)| Order::Stop { id: *id, attempt: t.attempt, grace_s })
+        });
+        let foreign =
+            machine.foreign.iter().map(|(id, attempt)| Order::Stop { id: *id, attempt: *attempt, grace_s: 0.0 });
+        own.chain(foreign)
+    }
+
+    /// The answer to a check-in, which renews the machine's lease.
+    pub fn answer(&mut self, name: &str) -> Vec<Order> {
+        let now = self.now;
+        let settled_and_recorded;
+        let mut orders: Vec<Order>;
+        {
+            let Some(machine) = self.machines.get_mut(name) else { return Vec::new() };
+            machine.answered = now;
+            orders = Self::stop_orders(machine).collect();
+            settled_and_recorded = machine.settled && machine.recorded;
+        }
+        let machine = &self.machines[name];
+        for ((id, attempt), cause) in &machine.exited {
+            // The result on the worker is the only one until ours is committed.
+            let job = self.jobs.get(&id.uid);
+            let kept = *cause == Cause::Done && job.is_some_and(|j| j.uncommitted.contains(&id.task));
+            if !kept {
+                orders.push(Order::Forget { id: *id, attempt: *attempt });
+            }
+        }
+        if let Some(machine) = self.machines.get_mut(name).filter(|_| settled_and_recorded) {
+            let newest = (machine.session, machine.seq);
+            for (id, placed) in &mut machine.tasks {
+                if placed.sent.is_none() && !placed.seen && placed.stopping.is_none() {
+                    placed.sent = Some(newest);
+                    orders.push(Order::Start { id: *id, attempt: placed.attempt });
+                }
+            }
+        }
+        orders
+    }
+
+    /// Stops go straight to the worker too, since its next report may be seconds away.
+    pub fn direct_stops(&mut self) {
+        for name in std::mem::take(&mut self.fleet.direct) {
+            let Some(machine) = self.machines.get(&name) else { continue };
+            let orders: Vec<Order> = Self::stop_orders(machine).collect();
+            if machine.phase == Phase::Up && !orders.is_empty() {
+                self.effects.push(Effect::Direct {
+                    machine: name,
+                    address: machine.address.clone(),
+                    session: machine.session,
+                    orders,
+                });
+            }
+        }
+    }
+
+    /// Finished tasks go to the state service, job by job; a job's last ones end it.
+    pub fn commit_done(&mut self) {
+        let ready: Vec<Uid> = self
+            .jobs
+            .values()
+            .filter(|j| !j.committing && !j.over && !j.uncommitted.is_empty() || j.ready_to_finish())
+            .map(|j| j.spec.uid)
+            .collect();
+        for uid in ready {
+            let Some(job) = self.jobs.get_mut(&uid) else { continue };
+            job.committing = true;
+            if job.unfinished() == 0 {
+                self.effects.push(Effect::Finish { uid, entry: job.entry, tasks: job.spec.tasks });
+            } else {
+                self.effects.push(Effect::CommitDone {
+                    uid,
+                    entry: job.entry,
+                    tasks: job.uncommitted.clone(),
+                    all_done: job.done.clone(),
+                });
+            }
+        }
+    }
+
+    pub fn committed(&mut self, uid: Uid, tasks: BTreeSet<u32>, outcome: Outcome) {
+        let Some(job) = self.jobs.get_mut(&uid) else { return };
+        job.committing = false;
+        if outcome == Outcome::Done {
+            job.uncommitted.retain(|t| !tasks.contains(t));
+        }
+    }
+}
+
+impl Job {
+    fn ready_to_finish(&self) -> bool {
+        self.spec.kind == Kind::Array && self.unfinished() == 0 && !self.committing && !self.over
+    }
+}
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,77 @@
+//! The HTTP client that the state service, the cloud and the workers share.
+
+use crate::limits;
+use std::time::{Duration, Instant};
+use thiserror::Error;
+
+#[derive(Debug, Error)]
+pub enum CallError {
+    /// It never left: the connection could not be made.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// It may have been carried out, or may yet be.
+    #[error("no answer: {0}")]
+    NoAnswer(String),
+}
+
+#[derive(Clone)]
+pub struct Http(reqwest::Client);
+
+pub struct Answer {
+    pub status: u16,
+    pub body: Vec<u8>,
+}
+
+impl Http {
+    pub fn new() -> Result<Self, reqwest::Error> {
+        reqwest::Client::builder()
+            .no_proxy()
+            .connect_timeout(limits::CONNECT_TIMEOUT)
+            .pool_idle_timeout(limits::IDLE_CONNECTION)
+            .tcp_nodelay(true)
+            .redirect(reqwest::redirect::Policy::none())
+            .build()
+            .map(Http)
+    }
+
+    pub async fn call(
+        &self,
+        method: reqwest::Method,
+        url: &str,
+        body: Option<Vec<u8>>,
+        timeout: Duration,
+    ) -> Result<Answer, CallError> {
+        let mut request = self.0.request(method, url).timeout(timeout);
+        if let Some(body) = body {
+            request = request.header("content-type", "application/json").body(body);
+        }
+        let response = request.send().await.map_err(|e| {
+            if e.is_connect() {
+                CallError::NotSent(e.to_string())
+            } else {
+                CallError::NoAnswer(e.to_string())
+            }
+        })?;
+        let status = response.status().as_u16();
+        let body = response.bytes().await.map_err(|e| CallError::NoAnswer(e.to_string()))?;
+        Ok(Answer { status, body: body.to_vec() })
+    }
+}
+
+/// This process's steady clock, in microseconds. It starts at a random point, so that a time echoed
+/// by a peer to an earlier incarnation of this node can't be taken for one of ours.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    begun: Instant,
+    base: u64,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        Clock { begun: Instant::now(), base: rand::random_range((1 << 40)..(1 << 50)) }
+    }
+
+    pub fn now(&self) -> u64 {
+        self.base + self.begun.elapsed().as_micros() as u64
+    }
+}
--- /dev/null
+++ b/src/leadership.rs
@@ -0,0 +1,565 @@
+//! Who may act for the controllers: a state machine without I/O or clock.
+//!
+//! A leader has two independent proofs: the state lease behind `leader/lock`, and grants by a
+//! majority of controllers. Either suffices to act; both must be gone before another may take over.
+//! Every deadline counts from when the request was sent and is shortened for drift; the granting
+//! side counts from receipt and lengthens it.
+
+use crate::limits;
+use crate::wire::Epoch;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tracing::{debug, info, warn};
+
+/// What a node tells its peers in every message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Status {
+    /// Microseconds since the state service last answered this node.
+    pub state_age: u64,
+    /// Workers that checked in with this node lately.
+    pub workers: u32,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Message {
+    /// From a leader (token above 0) or anybody (0). Asks for a grant if it leads.
+    Heartbeat { token: u64, sent: u64 },
+    /// A grant in answer to a heartbeat.
+    Grant { token: u64, echo: u64 },
+    PromiseRequest { sent: u64 },
+    Promise { echo: u64 },
+    /// The leader stops and names who should follow.
+    Release { token: u64, successor: usize },
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    Send(usize, Message),
+    /// Read epoch and lock.
+    Probe,
+    /// One transaction, with a fresh state lease: epoch and lock, if the epoch is still at `entry`
+    /// and, unless `over_lock`, the lock is absent.
+    TakeOver {
+        token: u64,
+        entry: u64,
+        over_lock: bool,
+    },
+    Renew {
+        permit: u64,
+    },
+    /// End the state lease, best effort.
+    Release {
+        permit: u64,
+    },
+    Elected {
+        token: u64,
+        entry: u64,
+    },
+    Deposed,
+}
+
+#[derive(Debug, Clone)]
+pub enum StoreAnswer {
+    Probed { epoch: Option<(Epoch, u64)>, locked: bool },
+    Won { permit: u64, entry: u64, lease_sent: u64 },
+    /// Refused, or without an answer (then the lease, if any, is to be ended).
+    Lost { permit: Option<u64> },
+    Renewed { permit: u64, sent: u64, alive: bool },
+    Failed,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Peer {
+    /// Their grant to us runs until then.
+    granted: u64,
+    promised: u64,
+    heard: u64,
+    status: Status,
+}
+
+#[derive(Debug)]
+enum Role {
+    Follower,
+    /// The takeover transaction is under way.
+    Taking { token: u64, over_lock: bool },
+    Leader { token: u64, permit: Option<u64>, lease_until: u64, elected: u64 },
+}
+
+pub struct Leadership {
+    me: usize,
+    names: Vec<String>,
+    incarnation: u64,
+    started: u64,
+    role: Role,
+    peers: Vec<Peer>,
+    /// Our grant to another: to whom, until when.
+    grant_out: Option<(usize, u64)>,
+    promise_out: Option<(usize, u64)>,
+    /// Highest token known.
+    token: u64,
+    /// The last leader heard: node, token, when.
+    leader: Option<(usize, u64, u64)>,
+    leader_since: u64,
+    epoch: Option<(Epoch, u64)>,
+    probed: bool,
+    locked: bool,
+    probed_at: u64,
+    probe_due: u64,
+    probing: bool,
+    heartbeat_due: u64,
+    renew_due: u64,
+    campaign_due: u64,
+    campaigning: bool,
+    may_resume: bool,
+    status: Status,
+    /// Since when nobody reaches us although workers ask elsewhere or nobody at all is heard.
+    unreached_since: Option<u64>,
+    peers_alone: u64,
+    rng: SmallRng,
+}
+
+fn shortened(time: u64) -> u64 {
+    (time as f64 * (1.0 - limits::DRIFT)) as u64
+}
+
+fn lengthened(time: u64) -> u64 {
+    (time as f64 * (1.0 + limits::DRIFT)) as u64
+}
+
+impl Leadership {
+    pub fn new(names: Vec<String>, me: usize, incarnation: u64, now: u64, peers_alone: u64, seed: u64) -> Self {
+        Leadership {
+            me,
+            peers: vec![Peer::default(); names.len()],
+            names,
+            incarnation,
+            started: now,
+            role: Role::Follower,
+            grant_out: None,
+            promise_out: None,
+            token: 0,
+            leader: None,
+            leader_since: 0,
+            epoch: None,
+            probed: false,
+            locked: true,
+            probed_at: 0,
+            probe_due: now,
+            probing: false,
+            heartbeat_due: now,
+            renew_due: 0,
+            campaign_due: now,
+            campaigning: false,
+            may_resume: true,
+            status: Status { state_age: u64::MAX, workers: 0 },
+            unreached_since: None,
+            peers_alone,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    fn majority(&self) -> usize {
+        self.names.len() / 2 + 1
+    }
+
+    /// A process that has just started has forgotten what it granted: it says nothing for L.
+    fn amnesiac(&self, now: u64) -> bool {
+        now < self.started + lengthened(limits::GRANT)
+    }
+
+    /// Until when a majority of `deadline`s runs, this node's `own` word included.
+    fn majority_until(&self, own: bool, deadline: impl Fn(&Peer) -> u64) -> u64 {
+        let own = usize::from(own);
+        let need = self.majority() - own;
+        if need == 0 {
+            return u64::MAX;
+        }
+        let mut all: Vec<u64> =
+            self.peers.iter().enumerate().filter(|(i, _)| *i != self.me).map(|(_, p)| deadline(p)).collect();
+        all.sort_unstable_by(|a, b| b.cmp(a));
+        all.get(need - 1).copied().unwrap_or(0)
+    }
+
+    /// The token this node may act with at this moment.
+    pub fn authority(&self, now: u64) -> Option<u64> {
+        let Role::Leader { token, lease_until, .. } = &self.role else { return None };
+        let peers = self.majority_until(!self.amnesiac(now), |p| p.granted).min(now + limits::GRANT);
+        let alone_ok = now < lease_until + self.peers_alone || self.all_without_state(now);
+        let until = if alone_ok { peers.max(*lease_until) } else { *lease_until };
+        (now + limits::GUARD < until).then_some(*token)
+    }
+
+    /// All members attest that they cannot commit either, so no cancellation can be passing us by.
+    fn all_without_state(&self, now: u64) -> bool {
+        self.peers.iter().enumerate().filter(|(i, _)| *i != self.me).all(|(_, p)| {
+            now < p.heard + limits::PEER_WORD && p.status.state_age >= limits::STATE_LOST
+        })
+    }
+
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader { .. })
+    }
+
+    /// Whom a worker should report to: named only while that leader says that workers reach it.
+    pub fn leader_name(&self, now: u64) -> Option<&str> {
+        let (node, _, heard) = self.leader?;
+        let reached = self.peers[node].status.workers > 0 || now < self.leader_since + limits::GRANT;
+        let known = node != self.me && now < heard + limits::PEER_WORD && reached;
+        known.then(|| self.names[node].as_str())
+    }
+
+    /// Whether some peer reaches the state service.
+    pub fn peer_has_state(&self, now: u64) -> bool {
+        self.others().any(|i| self.fresh(i, now) && self.peers[i].status.state_age < limits::STATE_LOST)
+    }
+
+    fn others(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.names.len()).filter(|i| *i != self.me)
+    }
+
+    fn fresh(&self, peer: usize, now: u64) -> bool {
+        now < self.peers[peer].heard + limits::PEER_WORD && self.peers[peer].heard > 0
+    }
+
+    pub fn tick(&mut self, now: u64, status: Status) -> Vec<Action> {
+        self.status = status;
+        let mut actions = Vec::new();
+        if self.is_leader() && self.authority(now).is_none() {
+            warn!("authority ran out");
+            self.step_down(now, &mut actions);
+        }
+        if self.is_leader() {
+            self.lead(now, &mut actions);
+        } else {
+            self.follow(now, &mut actions);
+        }
+        if now >= self.heartbeat_due {
+            self.heartbeat_due = now + limits::HEARTBEAT;
+            let token = if let Role::Leader { token, .. } = self.role { token } else { 0 };
+            let beat = Message::Heartbeat { token, sent: now };
+            actions.extend(self.others().map(|i| Action::Send(i, beat)));
+        }
+        actions
+    }
+
+    fn lead(&mut self, now: u64, actions: &mut Vec<Action>) {
+        let Role::Leader { token, permit, elected, .. } = self.role else { return };
+        if let (true, Some(permit)) = (now >= self.renew_due, permit) {
+            self.renew_due = now + limits::RENEW;
+            actions.push(Action::Renew { permit });
+        } else if permit.is_none() && now >= self.probe_due && !self.probing {
+            self.probe(now, limits::PROBE_CALM, actions);
+        }
+        // Refused by the state service while a peer is served: that peer can do more.
+        if self.status.state_age >= limits::STATE_LOST {
+            let served = self
+                .others()
+                .find(|i| self.fresh(*i, now) && self.peers[*i].status.state_age < limits::HEARTBEAT * 2);
+            if let Some(successor) = served {
+                info!(successor = self.names[successor], "no state service here, a peer has it: handing over");
+                return self.hand_over(token, successor, now, actions);
+            }
+        }
+        self.watch_reach(token, elected, now, actions);
+    }
+
+    /// A leader whom no worker reaches is of no use to them, whatever else it reaches.
+    fn watch_reach(&mut self, token: u64, elected: u64, now: u64, actions: &mut Vec<Action>) {
+        let asked = self
+            .others()
+            .filter(|i| self.fresh(*i, now) && self.peers[*i].status.workers > 0)
+            .max_by_key(|i| self.peers[*i].status.workers);
+        let isolated = self.names.len() > 1 && !self.others().any(|i| self.fresh(i, now));
+        let unreached = self.status.workers == 0 && (asked.is_some() || isolated);
+        if !unreached || now < elected + limits::GRANT {
+            self.unreached_since = None;
+            return;
+        }
+        let since = *self.unreached_since.get_or_insert(now);
+        if now < since + limits::HEARTBEAT {
+            return;
+        }
+        match asked {
+            Some(successor) => {
+                info!(successor = self.names[successor], "workers reach a peer and not us: handing over");
+                self.hand_over(token, successor, now, actions);
+            }
+            None => {
+                info!("neither peers nor workers reach us: giving up the lock");
+                self.step_down(now, actions);
+                self.campaign_due = now + limits::ABDICATION_PAUSE;
+            }
+        }
+    }
+
+    fn hand_over(&mut self, token: u64, successor: usize, now: u64, actions: &mut Vec<Action>) {
+        let release = Message::Release { token, successor };
+        actions.extend(self.others().map(|i| Action::Send(i, release)));
+        self.step_down(now, actions);
+        self.campaign_due = now + limits::ABDICATION_PAUSE;
+    }
+
+    fn step_down(&mut self, now: u64, actions: &mut Vec<Action>) {
+        if let Role::Leader { permit: Some(permit), .. } = self.role {
+            actions.push(Action::Release { permit });
+        }
+        self.role = Role::Follower;
+        self.leader = None;
+        self.unreached_since = None;
+        self.probe_due = now;
+        self.peers.iter_mut().for_each(|p| p.granted = 0);
+        actions.push(Action::Deposed);
+    }
+
+    /// A worker or peer has shown a higher token.
+    pub fn seen_token(&mut self, token: u64, now: u64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.token = self.token.max(token);
+        if matches!(self.role, Role::Leader { token: own, .. } if own < token) {
+            warn!(token, "a higher token is about");
+            self.step_down(now, &mut actions);
+        }
+        actions
+    }
+
+    fn probe(&mut self, now: u64, every: u64, actions: &mut Vec<Action>) {
+        self.probing = true;
+        self.probe_due = now + every;
+        actions.push(Action::Probe);
+    }
+
+    fn leader_heard(&self, now: u64) -> bool {
+        self.leader.is_some_and(|(_, _, heard)| now < heard + limits::GRANT)
+    }
+
+    fn follow(&mut self, now: u64, actions: &mut Vec<Action>) {
+        let calm = self.leader_heard(now);
+        if now >= self.probe_due && !self.probing {
+            self.probe(now, if calm { limits::PROBE_CALM } else { limits::PROBE_LEADERLESS }, actions);
+        }
+        if matches!(self.role, Role::Taking { .. }) || calm || now < self.campaign_due {
+            return;
+        }
+        // Without a fresh reading there is nothing to condition a transaction on.
+        let readable = self.probed && now < self.probed_at + limits::PROBE_CALM && !self.locked;
+        if !readable || self.grant_out.is_some_and(|(_, until)| now < until) {
+            return;
+        }
+        if self.promise_out.is_some_and(|(to, until)| to != self.me && now < until) {
+            return;
+        }
+        self.campaign_due = now + limits::CAMPAIGN + self.rng.random_range(0..limits::CAMPAIGN);
+        if !self.amnesiac(now) {
+            self.promise_out = Some((self.me, now + lengthened(limits::GRANT)));
+        }
+        self.campaigning = true;
+        debug!("campaigning");
+        let request = Message::PromiseRequest { sent: now };
+        actions.extend(self.others().map(|i| Action::Send(i, request)));
+        self.try_take(now, actions);
+    }
+
+    fn promises_until(&self, now: u64) -> u64 {
+        // Our own promise counts only while it binds us too.
+        let own = self.promise_out.filter(|(to, until)| *to == self.me && now < *until);
+        self.majority_until(own.is_some(), |p| p.promised).min(own.map_or(u64::MAX, |(_, until)| until))
+    }
+
+    fn try_take(&mut self, now: u64, actions: &mut Vec<Action>) {
+        if !self.campaigning || !matches!(self.role, Role::Follower) || self.locked {
+            return;
+        }
+        if self.promises_until(now) <= now + limits::GUARD {
+            return;
+        }
+        let entry = self.epoch.as_ref().map_or(0, |(_, entry)| *entry);
+        self.take(entry, false, actions);
+    }
+
+    fn take(&mut self, entry: u64, over_lock: bool, actions: &mut Vec<Action>) {
+        let known = self.epoch.as_ref().map_or(0, |(epoch, _)| epoch.token);
+        let token = known.max(self.token) + 1;
+        self.campaigning = false;
+        self.role = Role::Taking { token, over_lock };
+        info!(token, over_lock, "taking over");
+        actions.push(Action::TakeOver { token, entry, over_lock });
+    }
+
+    pub fn message(&mut self, now: u64, from: usize, status: Status, message: Message) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if from >= self.names.len() || from == self.me {
+            return actions;
+        }
+        self.peers[from].heard = now;
+        self.peers[from].status = status;
+        match message {
+            Message::Heartbeat { token: 0, .. } => {}
+            Message::Heartbeat { token, sent } => self.heartbeat(now, from, token, sent, &mut actions),
+            Message::Grant { token, echo } => {
+                let current = matches!(self.role, Role::Leader { token: own, .. } if own == token);
+                if current && echo <= now {
+                    let until = echo + shortened(limits::GRANT);
+                    self.peers[from].granted = self.peers[from].granted.max(until);
+                }
+            }
+            Message::PromiseRequest { sent } => {
+                if self.may_promise(now, from) {
+                    self.promise_out = Some((from, now + lengthened(limits::GRANT)));
+                    actions.push(Action::Send(from, Message::Promise { echo: sent }));
+                }
+            }
+            Message::Promise { echo } => {
+                if echo <= now {
+                    let until = echo + shortened(limits::GRANT);
+                    self.peers[from].promised = self.peers[from].promised.max(until);
+                    self.try_take(now, &mut actions);
+                }
+            }
+            Message::Release { token, successor } => {
+                if self.grant_out.is_some_and(|(to, _)| to == from) && token >= self.token {
+                    self.grant_out = None;
+                }
+                if self.leader.is_some_and(|(node, t, _)| node == from && t <= token) {
+                    self.leader = None;
+                }
+                self.probe_due = now;
+                // The others leave the successor a head start.
+                let wait = if successor == self.me { 0 } else { limits::GRANT };
+                self.campaign_due = now + wait;
+            }
+        }
+        actions
+    }
+
+    fn heartbeat(&mut self, now: u64, from: usize, token: u64, sent: u64, actions: &mut Vec<Action>) {
+        if token < self.token {
+            // A deposed leader's, or one that was held on its way.
+            return;
+        }
+        if matches!(self.role, Role::Leader { token: own, .. } if own >= token) {
+            return;
+        }
+        actions.extend(self.seen_token(token, now));
+        if self.leader.is_none_or(|(node, t, _)| (node, t) != (from, token)) {
+            self.leader_since = now;
+        }
+        self.leader = Some((from, token, now));
+        self.campaigning = false;
+        if matches!(self.role, Role::Follower) && self.promise_out.is_some_and(|(to, _)| to == self.me) {
+            // Our own campaign is over, and with it what we promised ourselves.
+            self.promise_out = None;
+        }
+        let promised = self.promise_out.is_some_and(|(to, until)| to != from && now < until);
+        let granted = self.grant_out.is_some_and(|(to, until)| to != from && now < until);
+        if !self.amnesiac(now) && !promised && !granted {
+            self.grant_out = Some((from, now + lengthened(limits::GRANT)));
+            actions.push(Action::Send(from, Message::Grant { token, echo: sent }));
+        }
+    }
+
+    fn may_promise(&self, now: u64, to: usize) -> bool {
+        let granted = self.grant_out.is_some_and(|(node, until)| node != to && now < until);
+        let promised = self.promise_out.is_some_and(|(node, until)| node != to && now < until);
+        !self.amnesiac(now) && !granted && !promised && matches!(self.role, Role::Follower)
+    }
+
+    pub fn store(&mut self, now: u64, answer: StoreAnswer) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match answer {
+            StoreAnswer::Probed { epoch, locked } => self.probed(now, epoch, locked, &mut actions),
+            StoreAnswer::Won { permit, entry, lease_sent } => {
+                let Role::Taking { token, over_lock } = self.role else {
+                    actions.push(Action::Release { permit });
+                    return actions;
+                };
+                let lease_until =
+                    lease_sent + shortened(limits::LOCK_LEASE_MS * 1_000);
+                // The commit must have been answered while the promises still run.
+                if !over_lock && self.promises_until(now) <= now || lease_until <= now + limits::GUARD {
+                    info!("won too late, starting over");
+                    self.role = Role::Follower;
+                    actions.push(Action::Release { permit });
+                    return actions;
+                }
+                info!(token, "leading");
+                self.token = self.token.max(token);
+                let epoch =
+                    Epoch { token, node: self.names[self.me].clone(), incarnation: self.incarnation };
+                self.epoch = Some((epoch, entry));
+                self.role = Role::Leader { token, permit: Some(permit), lease_until, elected: now };
+                self.peers.iter_mut().for_each(|p| (p.granted, p.promised) = (0, 0));
+                self.may_resume = false;
+                self.grant_out = None;
+                self.leader = None;
+                self.renew_due = now + limits::RENEW;
+                self.heartbeat_due = now;
+                actions.push(Action::Elected { token, entry });
+            }
+            StoreAnswer::Lost { permit } => {
+                actions.extend(permit.map(|permit| Action::Release { permit }));
+                if matches!(self.role, Role::Taking { .. }) {
+                    self.role = Role::Follower;
+                    self.probe_due = now;
+                }
+            }
+            StoreAnswer::Renewed { permit, sent, alive } => {
+                if let Role::Leader { permit: own, lease_until, .. } = &mut self.role {
+                    if *own == Some(permit) {
+                        if alive {
+                            let until = sent + shortened(limits::LOCK_LEASE_MS * 1_000);
+                            *lease_until = (*lease_until).max(until);
+                        } else {
+                            // It ended; grants may carry us on, but the lock is open to others.
+                            *own = None;
+                            self.probe_due = now;
+                        }
+                    }
+                }
+            }
+            StoreAnswer::Failed => self.probing = false,
+        }
+        actions
+    }
+
+    fn probed(&mut self, now: u64, epoch: Option<(Epoch, u64)>, locked: bool, actions: &mut Vec<Action>) {
+        self.probing = false;
+        let older = match (&epoch, &self.epoch) {
+            (Some((_, new)), Some((_, known))) => new < known,
+            (None, Some(_)) => true,
+            _ => false,
+        };
+        if older {
+            return;
+        }
+        if let Some((epoch, _)) = &epoch {
+            actions.extend(self.seen_token(epoch.token, now));
+        }
+        // Another's epoch: this leader has been followed.
+        self.epoch = epoch;
+        self.locked = locked;
+        self.probed = true;
+        self.probed_at = now;
+        if let Role::Leader { permit: None, .. } = self.role {
+            // The lock is lost while peers still grant: take it anew under a new token.
+            if !locked {
+                self.step_down(now, actions);
+                self.campaign_due = now;
+            }
+            return;
+        }
+        let resume = match &self.epoch {
+            Some((epoch, entry)) if epoch.node == self.names[self.me] => {
+                (epoch.incarnation != self.incarnation).then_some(*entry)
+            }
+            _ => None,
+        };
+        // The epoch names this very node before it restarted: that process is dead, and nobody acts.
+        if let (Some(entry), true, Role::Follower) = (resume, self.may_resume, &self.role) {
+            self.take(entry, true, actions);
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "leadership_tests.rs"]
+mod tests;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,18 @@
+//! dockpier, an elastic cluster scheduler.
+//!
+//! `core` owns every decision and does no I/O; `leadership` says who may act; the other modules
+//! stand around them and speak to users, workers, the cloud, the state service and the peers.
+
+pub mod api;
+pub mod cli;
+pub mod cloud;
+pub mod core;
+pub mod http;
+pub mod leadership;
+pub mod limits;
+pub mod peer;
+pub mod server;
+pub mod settings;
+pub mod store;
+pub mod wire;
+pub mod worker;
--- /dev/null
+++ b/src/limits.rs
@@ -0,0 +1,157 @@
+//! Every constant of the service, with its unit and the reason for its value. What follows from the
+//! settings is a function of them. Times are microseconds of the steady clock unless the name says otherwise.
+
+use std::time::Duration;
+
+/// Microseconds in a second.
+pub const SECOND: u64 = 1_000_000;
+
+/// Seconds, as the settings give them, in microseconds.
+pub fn micros(seconds: f64) -> u64 {
+    (seconds.max(0.0) * SECOND as f64) as u64
+}
+
+// ---- leadership ----
+
+/// Two clocks may part by 0.05% (PROTOCOL, durations); doubled, since both sides may be off.
+pub const DRIFT: f64 = 0.001;
+/// L: a peer's grant or promise. Short enough that a new leader reaches workers well within a 10 s
+/// worker lease, long enough for five missed heartbeats on 4% of a core.
+pub const GRANT: u64 = 2_500_000;
+/// The state lease behind `leader/lock`; longer than the grant so that a short peer cut changes nothing.
+pub const LOCK_LEASE_MS: u64 = 3_000;
+/// Heartbeats and status to the peers: five to a grant.
+pub const HEARTBEAT: u64 = 500_000;
+/// Lock renewals: three to a lease.
+pub const RENEW: u64 = 900_000;
+/// A leader acts only with this much authority left: covers a turn of the processor lost between the
+/// check and the bytes on the wire.
+pub const GUARD: u64 = 300_000;
+/// A campaign repeats after this plus as much again at random, so that two candidates part.
+pub const CAMPAIGN: u64 = 300_000;
+/// How often the epoch is read: while a leader is heard, and while none is.
+pub const PROBE_CALM: u64 = 1_000_000;
+pub const PROBE_LEADERLESS: u64 = 300_000;
+/// The state service counts as lost for a node after this long without an answer.
+pub const STATE_LOST: u64 = 2_500_000;
+/// A peer's word on its own state access and workers is believed this long.
+pub const PEER_WORD: u64 = 1_500_000;
+/// A leader that gave up because nobody reached it lets the others try first.
+pub const ABDICATION_PAUSE: u64 = 6_000_000;
+
+/// How long authority from peers alone lasts while some member cannot attest that it cannot commit
+/// either: a cancellation committed there must still reach every task within `cancel_s`, and the
+/// tasks of a machine nobody answers die within `lease_s`.
+pub fn peers_alone(cancel_s: f64, lease_s: f64) -> u64 {
+    micros((cancel_s - lease_s) / 2.0)
+}
+
+// ---- start rule ----
+
+/// Added to every worker lease: how late a worker may notice that its lease ended.
+pub const LEASE_MARGIN: u64 = 1_000_000;
+
+/// The time after the last possible answer by which a worker has killed all its tasks.
+pub fn worker_lease(lease_s: f64) -> u64 {
+    (micros(lease_s) as f64 * (1.0 + DRIFT)) as u64 + LEASE_MARGIN
+}
+
+/// A machine that has not reported for this long gets no new tasks and is suspected.
+/// Reports come every `report_s` plus a quarter; a lost one costs a second more.
+pub fn silent(report_s: f64) -> u64 {
+    micros(report_s * 2.0) + 2_500_000
+}
+
+/// Suspected machines are deleted ahead of the end of their lease only while at most this share (or
+/// two machines) is silent: when more are, the fault may well be on our side.
+pub const SILENT_SHARE: f64 = 0.25;
+
+/// The window in which check-ins are counted to see whether workers reach a node.
+pub fn reach_window(report_s: f64) -> u64 {
+    micros(report_s * 1.5) + 1_000_000
+}
+
+// ---- decisions ----
+
+/// Placement probes of one round of decisions; the next round goes on where this one stopped.
+/// 4,000 probes take about 2 ms on a full core.
+pub const ROUND_PROBES: usize = 4_000;
+/// A round without news runs this often, for gaps and ages that have run out.
+pub const ROUND_IDLE: u64 = 500_000;
+/// A stop that the worker has not confirmed is sent again to its address after this.
+pub const STOP_REPEAT: u64 = 1_500_000;
+/// Errors of different jobs on one machine after which it is replaced.
+pub const MACHINE_ERRORS: u32 = 2;
+/// First pause of a job whose task failed; doubles up to the longest.
+pub const JOB_PAUSE: u64 = 2_000_000;
+pub const JOB_PAUSE_MAX: u64 = 60_000_000;
+/// A machine that refused a start for want of room is left alone this long.
+pub const NO_ROOM_PAUSE: u64 = 3_000_000;
+/// On a spot notice, tasks that save are stopped when their saving time plus this is left.
+pub const RECALL_SLACK_S: f64 = 4.0;
+
+// ---- fleet ----
+
+/// How often the fleet is weighed.
+pub const FLEET_ROUND: u64 = 1_000_000;
+/// A boot that takes this many times the nominal time is given up (most take at most 1.5 times).
+pub const BOOT_GIVE_UP: f64 = 3.0;
+/// First pause after a refused rental of one type, zone and kind; doubles up to the longest.
+pub const REFUSED_PAUSE: u64 = 8_000_000;
+pub const REFUSED_PAUSE_MAX: u64 = 60_000_000;
+/// `how_many` is at most 50, a deletion names at most 100 machines (PROTOCOL).
+pub const RENT_MOST: u32 = 50;
+pub const DELETE_MOST: usize = 100;
+/// Machines on a page of the cloud's list (PROTOCOL: at most 500).
+pub const LIST_PAGE: u32 = 200;
+/// Spot prices wander; the catalog is read again this often.
+pub const CATALOG_EVERY: Duration = Duration::from_secs(60);
+/// Work that may use spot machines takes an ordinary one only after waiting this long while every
+/// spot offer is refused: an ordinary machine costs several times as much.
+pub const SPOT_PATIENCE: u64 = 45_000_000;
+
+// ---- input and output ----
+
+/// Request bodies (PROTOCOL: 64 KiB).
+pub const BODY: usize = 64 * 1024;
+/// Tasks of a job (PROTOCOL).
+pub const TASKS_MOST: u32 = 100_000;
+/// Length of names that users choose, so that a record fits `value_kb`.
+pub const NAME_MOST: usize = 128;
+/// Allowed machine types named by one job, for the same reason.
+pub const TYPES_MOST: usize = 16;
+/// Tasks of one key of finished tasks: 4,096 bits are 1 KiB of hexadecimal, within every `value_kb`.
+pub const DONE_CHUNK: u32 = 4_096;
+/// Commands waiting for the owner of the state; beyond it requests are shed.
+pub const QUEUE: usize = 1_024;
+/// Commands taken in one batch.
+pub const BATCH: usize = 64;
+/// Frames waiting for one peer; more are dropped, the next heartbeat makes up for them.
+pub const PEER_QUEUE: usize = 64;
+/// Final states remembered by a node so that late polls cost no request.
+pub const OVER_CACHE: usize = 4_096;
+/// User requests in progress at once; beyond it they are shed with `Retry-After`.
+pub const USERS_AT_ONCE: usize = 64;
+/// `Retry-After` in seconds: what sheds load passes within a second or two.
+pub const RETRY_AFTER_S: u64 = 1;
+/// State requests: ordinary answers take under 10 ms, now and then a few hundred.
+pub const STATE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Polls give an answer 2 s; half of that is left to reach us and to answer.
+pub const POLL_TIMEOUT: Duration = Duration::from_millis(900);
+/// A watch: how long it waits, and how much longer we wait for it.
+pub const WATCH_MS: u64 = 4_000;
+pub const WATCH_SLACK: Duration = Duration::from_millis(1_500);
+/// Pause after a failed state request, doubled at random, against stampedes after an outage.
+pub const STATE_PAUSE_MS: u64 = 250;
+/// Cloud requests may take their time; a request without an answer is repeated under its name.
+pub const CLOUD_TIMEOUT: Duration = Duration::from_secs(4);
+/// Direct commands to a worker's address.
+pub const ORDERS_TIMEOUT: Duration = Duration::from_secs(2);
+/// Connecting to anything here: round trips are a few milliseconds.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// A worker gives an answer 4 s; later ones are useless.
+pub const CHECKIN_TIMEOUT: Duration = Duration::from_secs(3);
+/// Idle user and worker connections are closed after this, so that dead ones free their socket.
+pub const IDLE_CONNECTION: Duration = Duration::from_secs(60);
+/// Share of the state service's request limit that one node spends on users' requests.
+pub const USER_STATE_SHARE: f64 = 0.3;
--- /dev/null
+++ b/src/server.rs
@@ -0,0 +1,847 @@
+//! Wires everything up: the queue of events into leadership and core, their effects out.
+
+use crate::api::{self, Api, Summary, Types};
+use crate::cloud::{self, Cloud};
+use crate::core::model::Uid;
+use crate::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob, StoredMachine};
+use crate::http::{Clock, Http};
+use crate::leadership::{Action, Leadership, Status, StoreAnswer};
+use crate::limits;
+use crate::peer::{self, Payload, Received, Sender};
+use crate::settings::{Operator, Settings};
+use crate::store::{self, Committed, Store};
+use crate::wire::{Checkin, CheckinAnswer, Epoch, FleetRecord, Orders, Over, Record, Rental, Submission};
+use crate::worker;
+use rand::Rng;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinHandle;
+use tracing::{debug, info, warn};
+
+#[derive(Debug, Error)]
+pub enum ServeError {
+    #[error("{what}: {source}")]
+    Io { what: String, source: std::io::Error },
+    #[error("HTTP client: {0}")]
+    Client(#[from] reqwest::Error),
+    #[error("the owner of the state ended")]
+    Ended,
+}
+
+pub enum CheckinReply {
+    Orders(CheckinAnswer),
+    Elsewhere(Option<String>),
+    Malformed,
+}
+
+pub enum Event {
+    Checkin(Checkin, oneshot::Sender<CheckinReply>),
+    Peer(Received),
+    Store(StoreAnswer),
+    /// For the core of this token, and no other.
+    Core(u64, Command),
+    Types(Types),
+}
+
+/// Runs a controller until it is killed.
+pub fn run(settings: Settings, operator: Operator) -> Result<(), ServeError> {
+    let io = |what: &str| {
+        let what = what.to_string();
+        move |source| ServeError::Io { what, source }
+    };
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(io("runtime"))?;
+    runtime.block_on(async move {
+        let address = settings.public_addr;
+        let public = TcpListener::bind(address).await.map_err(io(&format!("public_addr {address}")))?;
+        let address = settings.peer_bind;
+        let peers = TcpListener::bind(address).await.map_err(io(&format!("peer_bind {address}")))?;
+        serve(settings, operator, public, peers).await
+    })
+}
+
+async fn serve(
+    settings: Settings,
+    operator: Operator,
+    public: TcpListener,
+    peers: TcpListener,
+) -> Result<(), ServeError> {
+    let clock = Clock::start();
+    let http = Http::new()?;
+    let deployment = settings.deployment.clone();
+    let store = Store::new(http.clone(), settings.external.state, clock, deployment.state.rps);
+    let cloud = Cloud::new(http.clone(), settings.external.cloud);
+    let (events, queue) = mpsc::channel(limits::QUEUE);
+    let (types_to, types) = watch::channel(Types::default());
+    let (summary_to, summary) = watch::channel(Summary::default());
+    let healthy = Arc::new(AtomicBool::new(false));
+    let names = settings.node_names();
+    let me = names.iter().position(|n| *n == settings.node_name).unwrap_or(0);
+    let sender = Sender { node: me, incarnation: rand::rng().random() };
+    info!(node = settings.node_name, zone = settings.zone, incarnation = sender.incarnation, "started");
+
+    let (frames_to, frames) = mpsc::channel(limits::PEER_QUEUE);
+    tokio::spawn(peer::listen(peers, names.len(), me, frames_to));
+    tokio::spawn(forward(frames, events.clone()));
+    let mut outgoing = Vec::new();
+    for name in &names {
+        let member = settings.members.iter().find(|m| m.node_name == *name);
+        outgoing.push(member.map(|m| {
+            let (to, queue) = mpsc::channel(limits::PEER_QUEUE);
+            tokio::spawn(peer::send_to(m.peer_addr, sender, queue));
+            to
+        }));
+    }
+    tokio::spawn(keep_catalog(cloud.clone(), store.clone(), types_to, events.clone()));
+
+    let api = Arc::new(Api::new(
+        store.clone(),
+        deployment.teams.clone(),
+        types,
+        summary,
+        events.clone(),
+        healthy.clone(),
+    ));
+    let acceptor = poem::listener::TcpAcceptor::from_tokio(public)
+        .map_err(|source| ServeError::Io { what: "public_addr".into(), source })?;
+    tokio::spawn(async move {
+        let server = poem::Server::new_with_acceptor(acceptor).idle_timeout(limits::IDLE_CONNECTION);
+        if let Err(error) = server.run(api::routes(api)).await {
+            tracing::error!(%error, "HTTP server ended");
+        }
+    });
+
+    let now = clock.now();
+    let peers_alone = limits::peers_alone(deployment.workers.cancel_s, deployment.workers.lease_s);
+    let seed = sender.incarnation;
+    let leadership = Leadership::new(names.clone(), me, sender.incarnation, now, peers_alone, seed);
+    let hub = Hub {
+        config: Config {
+            token: 0,
+            operator,
+            workers: deployment.workers.clone(),
+            teams: deployment.teams.clone(),
+            zones: deployment.zones.clone(),
+            list_lag_s: deployment.cloud.list_lag_s,
+            round_probes: limits::ROUND_PROBES,
+        },
+        settings,
+        clock,
+        http,
+        store,
+        cloud,
+        events,
+        leadership,
+        incarnation: sender.incarnation,
+        names,
+        outgoing,
+        core: None,
+        entry: 0,
+        replies: BTreeMap::new(),
+        next_reply: 0,
+        leading: Vec::new(),
+        cloud_queue: None,
+        summary: summary_to,
+        healthy,
+        types: Types::default(),
+        checkins: VecDeque::new(),
+        summary_due: 0,
+        report_due: 0,
+    };
+    hub.run(queue).await;
+    Err(ServeError::Ended)
+}
+
+async fn forward(mut frames: mpsc::Receiver<Received>, events: mpsc::Sender<Event>) {
+    while let Some(frame) = frames.recv().await {
+        if events.send(Event::Peer(frame)).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Keeps the machine types known: from the state service at first, so that a node need not wait for
+/// the cloud, then from the cloud.
+async fn keep_catalog(
+    cloud: Cloud,
+    store: Store,
+    types: watch::Sender<Types>,
+    events: mpsc::Sender<Event>,
+) {
+    let publish = |catalog: &crate::wire::Catalog| {
+        let by_name = cloud::types(catalog).into_iter().map(|t| (t.name.clone(), t)).collect();
+        let known: Types = Arc::new(by_name);
+        types.send_replace(known.clone());
+        Event::Types(known)
+    };
+    let stored = store.get(store::CATALOG, limits::STATE_TIMEOUT).await;
+    let mut kept = false;
+    if let Ok(Some((value, _))) = &stored {
+        if let Ok(catalog) = serde_json::from_value(value.clone()) {
+            kept = true;
+            let _ = events.send(publish(&catalog)).await;
+        }
+    }
+    loop {
+        let Some(catalog) = cloud.catalog().await else {
+            let pause = rand::rng().random_range(1_500..3_000);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+            continue;
+        };
+        if events.send(publish(&catalog)).await.is_err() {
+            return;
+        }
+        if !kept {
+            // Whoever comes first; losing the race changes nothing.
+            if let Ok(change) = store::write(store::CATALOG, &catalog) {
+                let outcome = store.commit(vec![store::compare(store::CATALOG, 0)], vec![change]).await;
+                kept = matches!(outcome, Committed::Done { .. } | Committed::Conflict);
+            }
+        }
+        tokio::time::sleep(limits::CATALOG_EVERY).await;
+    }
+}
+
+enum CloudRequest {
+    Rent { request: u64, machine_type: String, zone: String, spot: bool, count: u32 },
+    Delete(Vec<String>),
+}
+
+/// The one owner of this process's state.
+struct Hub {
+    config: Config,
+    settings: Settings,
+    clock: Clock,
+    http: Http,
+    store: Store,
+    cloud: Cloud,
+    events: mpsc::Sender<Event>,
+    leadership: Leadership,
+    incarnation: u64,
+    names: Vec<String>,
+    outgoing: Vec<Option<mpsc::Sender<Payload>>>,
+    core: Option<Core>,
+    /// Version of the epoch that every transaction of this leader rests on.
+    entry: u64,
+    replies: BTreeMap<u64, oneshot::Sender<CheckinReply>>,
+    next_reply: u64,
+    /// Tasks that only run while this node leads.
+    leading: Vec<JoinHandle<()>>,
+    cloud_queue: Option<mpsc::UnboundedSender<CloudRequest>>,
+    summary: watch::Sender<Summary>,
+    healthy: Arc<AtomicBool>,
+    types: Types,
+    /// When workers checked in lately.
+    checkins: VecDeque<u64>,
+    summary_due: u64,
+    report_due: u64,
+}
+
+impl Hub {
+    async fn run(mut self, mut queue: mpsc::Receiver<Event>) {
+        let mut batch = Vec::with_capacity(limits::BATCH);
+        loop {
+            let wait = Duration::from_millis(100);
+            // A timeout is a tick without news.
+            let _ = tokio::time::timeout(wait, queue.recv_many(&mut batch, limits::BATCH)).await;
+            self.turn(std::mem::take(&mut batch));
+        }
+    }
+
+    fn status(&mut self, now: u64) -> Status {
+        let window = limits::reach_window(self.config.workers.report_s);
+        while self.checkins.front().is_some_and(|at| at + window < now) {
+            self.checkins.pop_front();
+        }
+        Status { state_age: now.saturating_sub(self.store.answered()), workers: self.checkins.len() as u32 }
+    }
+
+    fn turn(&mut self, batch: Vec<Event>) {
+        let now = self.clock.now();
+        let mut commands = Vec::new();
+        let mut checkins = Vec::new();
+        for event in batch {
+            match event {
+                Event::Checkin(checkin, to) => checkins.push((checkin, to)),
+                Event::Peer(Received { from, payload: Payload::Leadership(status, message) }) => {
+                    let actions = self.leadership.message(now, from, status, message);
+                    self.act(actions);
+                }
+                Event::Peer(Received { payload: Payload::Summary(lines), .. }) => {
+                    if !self.leadership.is_leader() {
+                        let lines = lines.into_iter().map(|(u, d, r)| (Uid(u), (d, r))).collect();
+                        self.summary.send_replace(Arc::new(lines));
+                    }
+                }
+                Event::Store(answer) => {
+                    let actions = self.leadership.store(now, answer);
+                    self.act(actions);
+                }
+                Event::Core(token, command) => {
+                    if token == self.config.token {
+                        commands.push(command);
+                    }
+                }
+                Event::Types(types) => {
+                    commands.push(Command::Types(types.values().cloned().collect()));
+                    self.types = types;
+                }
+            }
+        }
+        let status = self.status(now);
+        let actions = self.leadership.tick(now, status);
+        self.act(actions);
+        self.judge_health(now);
+        for (checkin, to) in checkins {
+            self.checkin(now, checkin, to, &mut commands);
+        }
+        self.step(now, commands);
+    }
+
+    fn judge_health(&mut self, now: u64) {
+        let lost = now.saturating_sub(self.store.answered()) >= limits::STATE_LOST;
+        // In an outage that everybody shares nobody serves users better than we do.
+        let healthy = !self.types.is_empty() && (!lost || !self.leadership.peer_has_state(now));
+        if self.healthy.swap(healthy, Ordering::Relaxed) != healthy {
+            info!(healthy, "health");
+        }
+    }
+
+    fn checkin(
+        &mut self,
+        now: u64,
+        checkin: Checkin,
+        to: oneshot::Sender<CheckinReply>,
+        commands: &mut Vec<Command>,
+    ) {
+        self.checkins.push_back(now);
+        let leads = self.leadership.authority(now).is_some() && self.core.is_some();
+        let reply = match (leads, worker::report(checkin)) {
+            (_, None) => CheckinReply::Malformed,
+            (false, _) => CheckinReply::Elsewhere(self.leadership.leader_name(now).map(str::to_string)),
+            (true, Some(report)) => {
+                self.next_reply += 1;
+                self.replies.insert(self.next_reply, to);
+                commands.push(Command::Checkin { reply: self.next_reply, report });
+                return;
+            }
+        };
+        // The worker may have given up meanwhile.
+        let _ = to.send(reply);
+    }
+
+    fn step(&mut self, now: u64, commands: Vec<Command>) {
+        let Some(core) = &mut self.core else { return };
+        let effects = core.step(now, commands);
+        if now >= self.summary_due {
+            self.summary_due = now + limits::SECOND;
+            let lines = core.summary();
+            let own = lines.iter().map(|(u, d, r)| (*u, (*d, *r))).collect();
+            self.summary.send_replace(Arc::new(own));
+            let lines: Vec<_> = lines.into_iter().map(|(u, d, r)| (u.0, d, r)).collect();
+            for to in self.outgoing.iter().flatten() {
+                let _ = to.try_send(Payload::Summary(lines.clone()));
+            }
+        }
+        if now >= self.report_due {
+            self.report_due = now + 10 * limits::SECOND;
+            info!(token = self.config.token, "{}", core.fleet_line());
+        }
+        for effect in effects {
+            self.carry_out(effect);
+        }
+    }
+
+    // ---- leadership ----
+
+    fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(to, message) => {
+                    let now = self.clock.now();
+                    let status = self.status(now);
+                    if let Some(Some(to)) = self.outgoing.get(to) {
+                        // A full queue means a peer that does not answer; later messages replace this one.
+                        let _ = to.try_send(Payload::Leadership(status, message));
+                    }
+                }
+                Action::Probe => self.ask_store(|store| async move {
+                    match store.epoch().await {
+                        Ok((epoch, locked)) => StoreAnswer::Probed { epoch, locked },
+                        Err(error) => {
+                            debug!(%error, "probe");
+                            StoreAnswer::Failed
+                        }
+                    }
+                }),
+                Action::TakeOver { token, entry, over_lock } => {
+                    let epoch = Epoch {
+                        token,
+                        node: self.settings.node_name.clone(),
+                        incarnation: self.incarnation,
+                    };
+                    self.ask_store(move |store| async move {
+                        match store.take_over(&epoch, entry, over_lock).await {
+                            Ok((permit, entry, lease_sent)) => StoreAnswer::Won { permit, entry, lease_sent },
+                            Err(permit) => StoreAnswer::Lost { permit },
+                        }
+                    });
+                }
+                Action::Renew { permit } => {
+                    let sent = self.clock.now();
+                    self.ask_store(move |store| async move {
+                        match store.extend(permit).await {
+                            Ok(alive) => StoreAnswer::Renewed { permit, sent, alive },
+                            Err(error) => {
+                                debug!(%error, "renewal");
+                                StoreAnswer::Failed
+                            }
+                        }
+                    });
+                }
+                Action::Release { permit } => {
+                    let store = self.store.clone();
+                    tokio::spawn(async move { store.release(permit).await });
+                }
+                Action::Elected { token, entry } => self.elected(token, entry),
+                Action::Deposed => self.deposed(),
+            }
+        }
+    }
+
+    fn ask_store<F>(&self, ask: impl FnOnce(Store) -> F)
+    where
+        F: std::future::Future<Output = StoreAnswer> + Send + 'static,
+    {
+        let (events, future) = (self.events.clone(), ask(self.store.clone()));
+        tokio::spawn(async move {
+            let _ = events.send(Event::Store(future.await)).await;
+        });
+    }
+
+    fn elected(&mut self, token: u64, entry: u64) {
+        self.deposed();
+        let now = self.clock.now();
+        self.config.token = token;
+        self.entry = entry;
+        let mut core = Core::new(self.config.clone(), now);
+        let types = Command::Types(self.types.values().cloned().collect());
+        let effects = core.step(now, vec![types]);
+        self.core = Some(core);
+        for effect in effects {
+            self.carry_out(effect);
+        }
+        let (to, queue) = mpsc::unbounded_channel();
+        self.cloud_queue = Some(to);
+        let events = self.events.clone();
+        let rps = self.settings.deployment.cloud.rps;
+        let lag = self.settings.deployment.cloud.list_lag_s;
+        self.leading = vec![
+            tokio::spawn(follow_jobs(self.store.clone(), events.clone(), token, entry)),
+            tokio::spawn(drive_cloud(self.cloud.clone(), events.clone(), queue, token, rps)),
+            tokio::spawn(list_machines(self.cloud.clone(), events, token, lag)),
+        ];
+    }
+
+    fn deposed(&mut self) {
+        self.leading.drain(..).for_each(|task| task.abort());
+        self.cloud_queue = None;
+        self.core = None;
+        self.config.token = 0;
+        for (_, to) in std::mem::take(&mut self.replies) {
+            let _ = to.send(CheckinReply::Elsewhere(None));
+        }
+    }
+
+    // ---- effects ----
+
+    /// Runs something for the core of the present token and hands it the outcome.
+    fn ask<F>(&self, future: F)
+    where
+        F: std::future::Future<Output = Command> + Send + 'static,
+    {
+        let (events, token) = (self.events.clone(), self.config.token);
+        tokio::spawn(async move {
+            let _ = events.send(Event::Core(token, future.await)).await;
+        });
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        let store = self.store.clone();
+        let leads = store::compare(store::EPOCH, self.entry);
+        match effect {
+            Effect::Answer { reply, orders } => self.answer(reply, &orders),
+            Effect::Direct { machine, address, session, orders } => {
+                let Some(helm) = self.leadership.authority(self.clock.now()) else { return };
+                let signals = orders.iter().map(worker::signal).collect();
+                let orders = Orders { helm, watch: session, signals };
+                let (http, events) = (self.http.clone(), self.events.clone());
+                debug!(machine, stops = orders.signals.len(), "direct stops");
+                tokio::spawn(async move {
+                    if let Some(report) = worker::direct(&http, &address, &orders).await {
+                        let _ = events.send(Event::Core(helm, Command::OrdersAnswered(report))).await;
+                    }
+                });
+            }
+            Effect::CommitDone { uid, entry, tasks, all_done } => {
+                let most = self.settings.deployment.state.txn_ops;
+                self.ask(async move {
+                    let (tasks, changes) = done_changes(uid, tasks, &all_done, most);
+                    let when = vec![leads, store::compare(&store::live(uid), entry)];
+                    let outcome = settle(store.commit(when, changes).await).await;
+                    Command::Committed { uid, tasks, outcome }
+                });
+            }
+            Effect::Finish { uid, entry, tasks } => self.ask(async move {
+                let over = Over { status: "done".into(), tasks };
+                let mut changes: Vec<_> = store::write(&store::over(uid), over).into_iter().collect();
+                changes.push(store::remove(&store::live(uid)));
+                if tasks > 1 {
+                    changes.push(store::remove(&store::done(uid, 0)));
+                }
+                let when = vec![leads, store::compare(&store::live(uid), entry)];
+                let outcome = settle(store.commit(when, changes).await).await;
+                if outcome == Outcome::Done {
+                    info!(job = %uid, "done");
+                }
+                Command::Finished { uid, outcome }
+            }),
+            Effect::Record(machine) => self.ask(async move {
+                let record = FleetRecord {
+                    hull: machine.machine_type,
+                    quay: machine.zone,
+                    driftwood: machine.spot,
+                    address: machine.address,
+                };
+                let key = format!("{}{}", store::FLEET, machine.name);
+                let changes = store::write(&key, record).into_iter().collect();
+                let outcome = settle(store.commit(vec![leads], changes).await).await;
+                Command::Recorded { machine: machine.name, outcome }
+            }),
+            Effect::Unrecord(machine) => {
+                tokio::spawn(async move {
+                    let key = format!("{}{machine}", store::FLEET);
+                    // What is left behind costs the next leader one wait of a worker lease.
+                    let _ = store.commit(vec![leads], vec![store::remove(&key)]).await;
+                });
+            }
+            Effect::Rent { request, machine_type, zone, spot, count } => {
+                self.cloud_request(CloudRequest::Rent { request, machine_type, zone, spot, count })
+            }
+            Effect::Delete(names) => self.cloud_request(CloudRequest::Delete(names)),
+            Effect::Deposed(token) => {
+                let actions = self.leadership.seen_token(token, self.clock.now());
+                self.act(actions);
+            }
+        }
+    }
+
+    fn cloud_request(&self, request: CloudRequest) {
+        if let Some(queue) = &self.cloud_queue {
+            let _ = queue.send(request);
+        }
+    }
+
+    fn answer(&mut self, reply: u64, orders: &[Order]) {
+        let Some(to) = self.replies.remove(&reply) else { return };
+        // Checked again at the last moment: the round may have taken long.
+        let reply = match self.leadership.authority(self.clock.now()) {
+            Some(helm) => CheckinReply::Orders(CheckinAnswer {
+                helm,
+                signals: orders.iter().map(worker::signal).collect(),
+            }),
+            None => CheckinReply::Elsewhere(None),
+        };
+        let _ = to.send(reply);
+    }
+}
+
+/// What the core needs to know of a transaction. A failed one is reported after a pause, so that a
+/// service in trouble is not asked hot and an outage ends without a stampede.
+async fn settle(committed: Committed) -> Outcome {
+    if !matches!(committed, Committed::Done { .. }) {
+        let pause = limits::STATE_PAUSE_MS;
+        let pause = pause + rand::rng().random_range(0..=pause);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+    match committed {
+        Committed::Done { .. } => Outcome::Done,
+        Committed::Conflict | Committed::Refused => Outcome::Refused,
+        Committed::Unknown => Outcome::Unknown,
+    }
+}
+
+/// The keys of finished tasks to write for `tasks`, as many as one transaction takes, and the tasks
+/// that these cover.
+fn done_changes(
+    uid: Uid,
+    tasks: BTreeSet<u32>,
+    all_done: &BTreeSet<u32>,
+    most: usize,
+) -> (BTreeSet<u32>, Vec<crate::wire::Change>) {
+    let chunks: BTreeSet<u32> = tasks.iter().map(|t| t / limits::DONE_CHUNK).collect();
+    let chunks: BTreeSet<u32> = chunks.into_iter().take(most).collect();
+    let covered = tasks.into_iter().filter(|t| chunks.contains(&(t / limits::DONE_CHUNK))).collect();
+    let changes = chunks
+        .iter()
+        .filter_map(|chunk| {
+            let first = chunk * limits::DONE_CHUNK;
+            let bits = encode_bits(all_done.range(first..first + limits::DONE_CHUNK).map(|t| t - first));
+            store::write(&store::done(uid, *chunk), bits).ok()
+        })
+        .collect();
+    (covered, changes)
+}
+
+/// Task numbers as hexadecimal digits, four tasks each, the lowest first.
+fn encode_bits(tasks: impl Iterator<Item = u32>) -> String {
+    let mut digits: Vec<u8> = Vec::new();
+    for task in tasks {
+        let at = (task / 4) as usize;
+        if digits.len() <= at {
+            digits.resize(at + 1, 0);
+        }
+        digits[at] |= 1 << (task % 4);
+    }
+    digits.into_iter().filter_map(|d| char::from_digit(d.into(), 16)).collect()
+}
+
+fn decode_bits(text: &str) -> impl Iterator<Item = u32> + '_ {
+    text.chars().enumerate().flat_map(|(at, c)| {
+        let digit = c.to_digit(16).unwrap_or(0);
+        (0..4).filter(move |bit| digit & (1 << bit) != 0).map(move |bit| at as u32 * 4 + bit)
+    })
+}
+
+// ---- what runs while this node leads ----
+
+fn stored_job(record: &Record) -> Option<StoredJob> {
+    let submission: Result<Submission, _> = serde_json::from_value(record.value.clone());
+    let spec = submission.map_err(|e| e.to_string()).and_then(|s| s.check());
+    match spec {
+        Ok(spec) => Some(StoredJob { spec, entry: record.entry, done: BTreeSet::new() }),
+        Err(error) => {
+            warn!(key = record.path, error, "unreadable job record");
+            None
+        }
+    }
+}
+
+/// Everything a new leader reads: jobs, finished tasks, machines; and where to follow from.
+async fn load(store: &Store) -> Result<(Vec<StoredJob>, Vec<StoredMachine>, Vec<String>, u64), store::StoreError> {
+    let (live, revision) = store.list(store::LIVE).await?;
+    let (done, _) = store.list(store::DONE).await?;
+    let (fleet, _) = store.list(store::FLEET).await?;
+    let mut jobs: HashMap<Uid, StoredJob> =
+        live.iter().filter_map(stored_job).map(|job| (job.spec.uid, job)).collect();
+    let mut orphans = Vec::new();
+    for record in done {
+        let mut parts = record.path.split('/').skip(1);
+        let uid = parts.next().and_then(Uid::parse);
+        let chunk = parts.next().and_then(|c| c.parse::<u32>().ok());
+        let (Some(job), Some(chunk), Some(bits)) =
+            (uid.and_then(|uid| jobs.get_mut(&uid)), chunk, record.value.as_str())
+        else {
+            orphans.push(record.path);
+            continue;
+        };
+        let tasks = job.spec.tasks;
+        job.done.extend(
+            decode_bits(bits).map(|t| t + chunk.saturating_mul(limits::DONE_CHUNK)).filter(|t| *t < tasks),
+        );
+    }
+    let machines = fleet
+        .into_iter()
+        .filter_map(|record| {
+            let name = record.path.strip_prefix(store::FLEET)?.to_string();
+            let fleet: FleetRecord = serde_json::from_value(record.value).ok()?;
+            Some(StoredMachine {
+                name,
+                machine_type: fleet.hull,
+                zone: fleet.quay,
+                spot: fleet.driftwood,
+                address: fleet.address,
+            })
+        })
+        .collect();
+    Ok((jobs.into_values().collect(), machines, orphans, revision))
+}
+
+async fn pause() {
+    let pause = limits::STATE_PAUSE_MS;
+    tokio::time::sleep(Duration::from_millis(rand::rng().random_range(pause..=2 * pause))).await;
+}
+
+/// Loads the jobs and follows what users commit through any node.
+async fn follow_jobs(store: Store, events: mpsc::Sender<Event>, token: u64, entry: u64) {
+    let send = |command| events.send(Event::Core(token, command));
+    let mut known: BTreeSet<Uid> = BTreeSet::new();
+    let mut from = loop {
+        match load(&store).await {
+            Ok((jobs, machines, orphans, revision)) => {
+                known.extend(jobs.iter().map(|j| j.spec.uid));
+                let _ = send(Command::Load { jobs, machines }).await;
+                tokio::spawn(sweep(store.clone(), orphans, entry));
+                break revision;
+            }
+            Err(error) => {
+                warn!(%error, "cannot load yet");
+                pause().await;
+            }
+        }
+    };
+    loop {
+        let follow = match store.follow(store::LIVE, from).await {
+            Ok(Some(follow)) => follow,
+            Ok(None) => {
+                // Too far behind: read the keys again.
+                let Ok((records, revision)) = store.list(store::LIVE).await else {
+                    pause().await;
+                    continue;
+                };
+                let jobs: Vec<_> = records.iter().filter_map(stored_job).collect();
+                let listed: BTreeSet<Uid> = jobs.iter().map(|j| j.spec.uid).collect();
+                for uid in known.difference(&listed) {
+                    let _ = send(Command::JobRemoved(*uid)).await;
+                }
+                for job in jobs {
+                    let _ = send(Command::JobAdded(job)).await;
+                }
+                known = listed;
+                from = revision;
+                continue;
+            }
+            Err(error) => {
+                debug!(%error, "following jobs");
+                pause().await;
+                continue;
+            }
+        };
+        from = from.max(follow.ledger);
+        for event in follow.events {
+            if let Some(path) = event.write {
+                let record = Record { path, value: event.value, entry: event.entry };
+                if let Some(job) = stored_job(&record) {
+                    known.insert(job.spec.uid);
+                    let _ = send(Command::JobAdded(job)).await;
+                }
+            } else if let Some(path) = event.remove {
+                if let Some(uid) = path.strip_prefix(store::LIVE).and_then(Uid::parse) {
+                    known.remove(&uid);
+                    let _ = send(Command::JobRemoved(uid)).await;
+                }
+            }
+        }
+    }
+}
+
+/// Removes what withdrawn jobs left behind, slowly enough to stay clear of the write limit.
+async fn sweep(store: Store, orphans: Vec<String>, entry: u64) {
+    for key in orphans {
+        let _ = store.commit(vec![store::compare(store::EPOCH, entry)], vec![store::remove(&key)]).await;
+        tokio::time::sleep(Duration::from_millis(limits::STATE_PAUSE_MS)).await;
+    }
+}
+
+/// Sends rentals and deletions one at a time within the cloud's limit; deletions first, since
+/// machines cost money and tasks wait for the proof that they are gone.
+async fn drive_cloud(
+    cloud: Cloud,
+    events: mpsc::Sender<Event>,
+    mut queue: mpsc::UnboundedReceiver<CloudRequest>,
+    token: u64,
+    rps: f64,
+) {
+    // Half of the limit: lists and the other nodes' catalogs need some too.
+    let pace = Duration::from_secs_f64(2.0 / rps.max(0.1));
+    let mut waiting: VecDeque<CloudRequest> = VecDeque::new();
+    loop {
+        if waiting.is_empty() {
+            match queue.recv().await {
+                Some(request) => waiting.push_back(request),
+                None => return,
+            }
+        }
+        while let Ok(request) = queue.try_recv() {
+            waiting.push_back(request);
+        }
+        let at = waiting.iter().position(|r| matches!(r, CloudRequest::Delete(_))).unwrap_or(0);
+        let Some(request) = waiting.remove(at) else { continue };
+        let command = match request {
+            CloudRequest::Delete(machines) => {
+                let outcome = cloud.delete(&machines).await;
+                Command::Deleted { machines, outcome }
+            }
+            CloudRequest::Rent { request, machine_type, zone, spot, count } => {
+                // The token makes the name unique among all leaders there will ever be.
+                let charter = format!("r-{token}-{request}");
+                let rental = Rental {
+                    charter: &charter,
+                    hull: &machine_type,
+                    quay: &zone,
+                    driftwood: spot,
+                    how_many: count,
+                };
+                let mut answer = cloud.rent(&rental).await;
+                for _ in 0..2 {
+                    if answer.0 == Outcome::Unknown {
+                        // The same name again rents nothing twice.
+                        tokio::time::sleep(pace * 2).await;
+                        answer = cloud.rent(&rental).await;
+                    }
+                }
+                let (outcome, names) = answer;
+                Command::Rented { request, machines: Some(names), outcome }
+            }
+        };
+        if events.send(Event::Core(token, command)).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(pace).await;
+    }
+}
+
+/// Reads the machine list again and again; it lags, so there is no point in hurrying.
+async fn list_machines(cloud: Cloud, events: mpsc::Sender<Event>, token: u64, lag_s: f64) {
+    let every = Duration::from_secs_f64(lag_s.clamp(4.0, 30.0));
+    loop {
+        let mut all = Vec::new();
+        let mut from = String::new();
+        let complete = loop {
+            let Some((page, more)) = cloud.page(&from).await else { break false };
+            from = page.last().map(|m| m.machine.name.clone()).unwrap_or_default();
+            all.extend(page);
+            if !more || from.is_empty() {
+                break true;
+            }
+        };
+        // Half a list would make machines seem missing.
+        if complete && events.send(Event::Core(token, Command::Listed(all))).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(every).await;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn finished_tasks_survive_their_encoding_in_chunks() {
+        let done: BTreeSet<u32> = [0, 3, 4, 4095, 4096, 99_999].into();
+        let (covered, changes) = done_changes(Uid(7), done.clone(), &done, 8);
+        assert_eq!(covered, done);
+        assert_eq!(changes.len(), 3);
+        let (covered, changes) = done_changes(Uid(7), done.clone(), &done, 2);
+        assert_eq!((covered.len(), changes.len()), (5, 2));
+        let bits = encode_bits([0u32, 3, 4, 4095].into_iter());
+        assert_eq!(bits.len(), 1024);
+        assert_eq!(decode_bits(&bits).collect::<Vec<_>>(), [0, 3, 4, 4095]);
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,267 @@
+//! The platform's settings file (JSON) and the operators' own (S-expressions), both checked.
+
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use thiserror::Error;
+
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    #[error("{file}: {source}")]
+    Unreadable { file: PathBuf, source: std::io::Error },
+    #[error("{file}: field `{field}`: {why}")]
+    Field { file: PathBuf, field: String, why: String },
+    #[error("{file}: line {line}: {why}")]
+    Line { file: PathBuf, line: usize, why: String },
+}
+
+/// What the platform hands over. Fields it may add later are ignored.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    pub node_name: String,
+    #[serde(rename = "site")]
+    pub zone: String,
+    pub public_addr: SocketAddr,
+    pub peer_bind: SocketAddr,
+    #[serde(default)]
+    pub members: Vec<Member>,
+    pub external: External,
+    pub deployment: Deployment,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Member {
+    pub node_name: String,
+    pub peer_addr: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct External {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Deployment {
+    pub zones: Vec<String>,
+    pub teams: Vec<Team>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+fn read(file: &Path) -> Result<String, SettingsError> {
+    std::fs::read_to_string(file).map_err(|source| SettingsError::Unreadable { file: file.into(), source })
+}
+
+impl Settings {
+    pub fn load(file: &Path) -> Result<Self, SettingsError> {
+        Self::parse(&read(file)?, file)
+    }
+
+    pub fn parse(text: &str, file: &Path) -> Result<Self, SettingsError> {
+        let mut json = serde_json::Deserializer::from_str(text);
+        let settings: Settings =
+            serde_path_to_error::deserialize(&mut json).map_err(|e| SettingsError::Field {
+                file: file.into(),
+                field: e.path().to_string(),
+                why: e.inner().to_string(),
+            })?;
+        settings.check().map_err(|(field, why)| SettingsError::Field {
+            file: file.into(),
+            field: field.into(),
+            why: why.into(),
+        })?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), (&'static str, &'static str)> {
+        let d = &self.deployment;
+        let positive = |v: f64| v.is_finite() && v > 0.0;
+        let amount = |v: f64| v.is_finite() && v >= 0.0;
+        let rules: [(&'static str, bool, &'static str); 12] = [
+            ("node_name", !self.node_name.is_empty(), "must not be empty"),
+            (
+                "members",
+                self.members.iter().all(|m| m.node_name != self.node_name),
+                "must not name this node itself",
+            ),
+            ("deployment.zones", !d.zones.is_empty(), "must name a zone"),
+            ("deployment.teams", !d.teams.is_empty(), "must name a team"),
+            (
+                "deployment.teams",
+                d.teams.iter().all(|t| [t.cpus, t.cpus_max, t.gpus, t.gpus_max].into_iter().all(amount)),
+                "guarantees and limits must be amounts of 0 or more",
+            ),
+            ("deployment.workers.report_s", positive(d.workers.report_s), "must be above 0"),
+            (
+                "deployment.workers.lease_s",
+                positive(d.workers.lease_s) && d.workers.lease_s > d.workers.report_s,
+                "must be above report_s",
+            ),
+            ("deployment.workers.cancel_s", positive(d.workers.cancel_s), "must be above 0"),
+            (
+                "deployment.state",
+                positive(d.state.rps) && positive(d.state.write_rps),
+                "rps and write_rps must be above 0",
+            ),
+            ("deployment.state.value_kb", d.state.value_kb >= 2.0, "records need at least 2"),
+            ("deployment.state.txn_ops", d.state.txn_ops >= 3, "a transaction needs at least 3 changes"),
+            ("deployment.cloud", positive(d.cloud.rps) && amount(d.cloud.list_lag_s), "rps must be above 0"),
+        ];
+        match rules.into_iter().find(|(_, holds, _)| !holds) {
+            Some((field, _, why)) => Err((field, why)),
+            None => Ok(()),
+        }
+    }
+
+    /// All controllers' names in one order that every node shares; a node's place in it is its number.
+    pub fn node_names(&self) -> Vec<String> {
+        let mut names: Vec<String> = self.members.iter().map(|m| m.node_name.clone()).collect();
+        names.push(self.node_name.clone());
+        names.sort();
+        names
+    }
+}
+
+/// What the operators set themselves; each key has a default. Seconds, tasks or shares as named.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Operator {
+    /// Least time between two changes of a job's width.
+    pub rescale_gap_s: f64,
+    /// Waiting time that lifts a job by one priority class.
+    pub aging_s: f64,
+    /// Free places kept in each zone for tasks of critical services.
+    pub reserve_tasks: u32,
+    /// An ordinary machine without tasks is returned after this.
+    pub idle_s: f64,
+    /// The same for a spot machine.
+    pub idle_spot_s: f64,
+}
+
+impl Default for Operator {
+    fn default() -> Self {
+        Operator { rescale_gap_s: 10.0, aging_s: 300.0, reserve_tasks: 2, idle_s: 60.0, idle_spot_s: 40.0 }
+    }
+}
+
+impl Operator {
+    pub fn load(file: &Path) -> Result<Self, SettingsError> {
+        Self::parse(&read(file)?, file)
+    }
+
+    /// `((rescale-gap-s 10) (reserve-tasks 2))`: a list of keys with a number each.
+    pub fn parse(text: &str, file: &Path) -> Result<Self, SettingsError> {
+        let refuse = |line: usize, why: String| SettingsError::Line { file: file.into(), line, why };
+        let datum = lexpr::datum::from_str(text).map_err(|e| {
+            refuse(e.location().map_or(1, |l| l.line()), format!("not one S-expression: {e}"))
+        })?;
+        let mut operator = Operator::default();
+        let entries = datum.list_iter().ok_or_else(|| refuse(1, "expected a list of (key number)".into()))?;
+        for entry in entries {
+            let line = entry.span().start().line();
+            let parts: Vec<_> = entry.list_iter().map(|i| i.collect()).unwrap_or_default();
+            let (key, number) = match parts.as_slice() {
+                [key, number] => (key.value().as_symbol(), number.value().as_f64()),
+                _ => (None, None),
+            };
+            let (Some(key), Some(number)) = (key, number) else {
+                return Err(refuse(line, "expected (key number)".into()));
+            };
+            if !number.is_finite() || number < 0.0 {
+                return Err(refuse(line, format!("`{key}` must be 0 or more")));
+            }
+            match key {
+                "rescale-gap-s" => operator.rescale_gap_s = number,
+                "aging-s" if number > 0.0 => operator.aging_s = number,
+                "reserve-tasks" if number.fract() == 0.0 && number <= 1000.0 => {
+                    operator.reserve_tasks = number as u32
+                }
+                "idle-s" => operator.idle_s = number,
+                "idle-spot-s" => operator.idle_spot_s = number,
+                "aging-s" => return Err(refuse(line, "`aging-s` must be above 0".into())),
+                "reserve-tasks" => {
+                    return Err(refuse(line, "`reserve-tasks` must be a whole number up to 1000".into()))
+                }
+                _ => return Err(refuse(line, format!("unknown key `{key}`"))),
+            }
+        }
+        Ok(operator)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn operator_file_names_the_line() {
+        let file = Path::new("op.scm");
+        let good = Operator::parse("((rescale-gap-s 4)\n (reserve-tasks 3))", file).unwrap();
+        assert_eq!((good.rescale_gap_s, good.reserve_tasks, good.idle_s), (4.0, 3, 60.0));
+        for (text, says) in [
+            ("((idle-s 4)\n (nonsense 1))", "op.scm: line 2: unknown key `nonsense`"),
+            ("((idle-s -1))", "op.scm: line 1: `idle-s` must be 0 or more"),
+            ("((reserve-tasks 1.5))", "whole number"),
+            ("((idle-s", "line 1"),
+            ("7", "expected a list"),
+        ] {
+            let error = Operator::parse(text, file).unwrap_err().to_string();
+            assert!(error.contains(says), "{text}: {error}");
+        }
+    }
+
+    #[test]
+    fn settings_name_the_field() {
+        let text = r#"{"node_name":"a","site":"z","public_addr":"127.0.0.1:1","peer_bind":"127.0.0.1:2",
+            "external":{"cloud":"127.0.0.1:3","state":"127.0.0.1:4"},
+            "deployment":{"zones":["z"],"teams":[{"name":"t"}],
+            "workers":{"report_s":1.0,"lease_s":10.0,"cancel_s":40.0},
+            "state":{"rps":150,"write_rps":40,"value_kb":8,"txn_ops":12},"cloud":{"rps":2,"list_lag_s":8}}}"#;
+        let file = Path::new("s.json");
+        assert!(Settings::parse(text, file).is_ok());
+        for (from, to, says) in [
+            ("\"lease_s\":10.0", "\"lease_s\":0.5", "deployment.workers.lease_s"),
+            ("\"rps\":150", "\"rps\":\"x\"", "deployment.state.rps"),
+            ("127.0.0.1:4", "nowhere", "external.state"),
+            ("\"zones\":[\"z\"]", "\"zones\":[]", "deployment.zones"),
+        ] {
+            let error = Settings::parse(&text.replace(from, to), file).unwrap_err().to_string();
+            assert!(error.contains(says), "{says}: {error}");
+        }
+    }
+}
--- /dev/null
+++ b/src/store.rs
@@ -0,0 +1,270 @@
+//! The client of the state service.
+
+use crate::http::{Answer, CallError, Clock, Http};
+use crate::limits;
+use crate::wire::{Change, Compare, Epoch, Follow, Ledger, Page, Permit, Record, Transaction};
+use reqwest::Method;
+use serde::Deserialize;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use thiserror::Error;
+use tracing::debug;
+
+#[derive(Debug, Error)]
+pub enum StoreError {
+    #[error("refused with {0}")]
+    Refused(u16),
+    #[error("{0}")]
+    Call(#[from] CallError),
+    #[error("malformed answer: {0}")]
+    Malformed(String),
+}
+
+/// What became of a transaction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Committed {
+    Done { entry: u64 },
+    /// A condition failed: nothing was changed.
+    Conflict,
+    /// Not carried out.
+    Refused,
+    /// No answer: of unknown outcome until read back.
+    Unknown,
+}
+
+/// A bucket of requests per second.
+struct Budget {
+    rate: f64,
+    most: f64,
+    tokens: f64,
+    at: u64,
+}
+
+impl Budget {
+    fn take(&mut self, now: u64) -> bool {
+        let passed = now.saturating_sub(self.at) as f64 / limits::SECOND as f64;
+        self.at = now;
+        self.tokens = (self.tokens + passed * self.rate).min(self.most);
+        let enough = self.tokens >= 1.0;
+        if enough {
+            self.tokens -= 1.0;
+        }
+        enough
+    }
+}
+
+#[derive(Clone)]
+pub struct Store {
+    http: Http,
+    base: String,
+    clock: Clock,
+    answered: Arc<AtomicU64>,
+    users: Arc<Mutex<Budget>>,
+}
+
+#[derive(Deserialize)]
+struct OneRecord {
+    value: serde_json::Value,
+    entry: u64,
+}
+
+fn json<T: for<'a> Deserialize<'a>>(answer: &Answer) -> Result<T, StoreError> {
+    serde_json::from_slice(&answer.body).map_err(|e| StoreError::Malformed(e.to_string()))
+}
+
+pub fn write(key: &str, value: impl serde::Serialize) -> Result<Change, serde_json::Error> {
+    Ok(Change::Write { write: key.into(), value: serde_json::to_value(value)?, permit: None })
+}
+
+pub fn remove(key: &str) -> Change {
+    Change::Remove { remove: key.into() }
+}
+
+pub fn compare(key: &str, entry: u64) -> Compare {
+    Compare { path: key.into(), entry }
+}
+
+impl Store {
+    pub fn new(http: Http, address: std::net::SocketAddr, clock: Clock, rps: f64) -> Self {
+        let rate = rps * limits::USER_STATE_SHARE;
+        let budget = Budget { rate, most: rate.max(1.0), tokens: rate.max(1.0), at: clock.now() };
+        Store {
+            http,
+            base: format!("http://{address}"),
+            clock,
+            answered: Arc::new(AtomicU64::new(0)),
+            users: Arc::new(Mutex::new(budget)),
+        }
+    }
+
+    /// When it last answered this node.
+    pub fn answered(&self) -> u64 {
+        self.answered.load(Ordering::Relaxed)
+    }
+
+    /// Whether users' requests of this node may ask once more now.
+    pub fn user_may_ask(&self) -> bool {
+        let now = self.clock.now();
+        self.users.lock().map(|mut b| b.take(now)).unwrap_or(true)
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        timeout: Duration,
+    ) -> Result<Answer, CallError> {
+        let answer = self.http.call(method, &format!("{}{path}", self.base), body, timeout).await;
+        match &answer {
+            Ok(a) if a.status != 503 => self.answered.store(self.clock.now(), Ordering::Relaxed),
+            Ok(_) => debug!(path, "state service answers 503"),
+            Err(error) => debug!(path, %error, "state service"),
+        }
+        answer
+    }
+
+    pub async fn get(&self, key: &str, timeout: Duration) -> Result<Option<(serde_json::Value, u64)>, StoreError> {
+        let answer = self.call(Method::GET, &format!("/store/{key}"), None, timeout).await?;
+        match answer.status {
+            200 => json::<OneRecord>(&answer).map(|r| Some((r.value, r.entry))),
+            404 => Ok(None),
+            other => Err(StoreError::Refused(other)),
+        }
+    }
+
+    /// Everything under a prefix, and the revision from which to follow it.
+    pub async fn list(&self, prefix: &str) -> Result<(Vec<Record>, u64), StoreError> {
+        let mut records: Vec<Record> = Vec::new();
+        let mut revision = None;
+        loop {
+            let from = records.last().map(|r| format!("&from={}", r.path)).unwrap_or_default();
+            let path = format!("/store?prefix={prefix}{from}&limit=500");
+            let answer = self.call(Method::GET, &path, None, limits::STATE_TIMEOUT).await?;
+            if answer.status != 200 {
+                return Err(StoreError::Refused(answer.status));
+            }
+            let page: Page = json(&answer)?;
+            // Changes between two pages are seen again when following from the first.
+            let first = *revision.get_or_insert(page.ledger);
+            let more = page.has_next && !page.items.is_empty();
+            records.extend(page.items);
+            if !more {
+                return Ok((records, first));
+            }
+        }
+    }
+
+    pub async fn commit(&self, when: Vec<Compare>, then: Vec<Change>) -> Committed {
+        let body = match serde_json::to_vec(&Transaction { when, then }) {
+            Ok(body) => body,
+            Err(_) => return Committed::Refused,
+        };
+        match self.call(Method::POST, "/multi", Some(body), limits::STATE_TIMEOUT).await {
+            Ok(answer) => match answer.status {
+                200 => json::<Ledger>(&answer)
+                    .map_or(Committed::Unknown, |l| Committed::Done { entry: l.ledger }),
+                409 => Committed::Conflict,
+                _ => Committed::Refused,
+            },
+            Err(CallError::NotSent(_)) => Committed::Refused,
+            Err(CallError::NoAnswer(_)) => Committed::Unknown,
+        }
+    }
+
+    pub async fn grant(&self, life_ms: u64) -> Result<u64, StoreError> {
+        let body = serde_json::json!({ "life_ms": life_ms }).to_string().into_bytes();
+        let answer = self.call(Method::POST, "/grants", Some(body), limits::STATE_TIMEOUT).await?;
+        match answer.status {
+            200 => json::<Permit>(&answer).map(|p| p.permit),
+            other => Err(StoreError::Refused(other)),
+        }
+    }
+
+    /// Whether the lease still runs; an error leaves it open.
+    pub async fn extend(&self, permit: u64) -> Result<bool, StoreError> {
+        let path = format!("/grants/{permit}/extend");
+        let answer = self.call(Method::POST, &path, Some(b"{}".to_vec()), limits::STATE_TIMEOUT).await?;
+        match answer.status {
+            200 => Ok(true),
+            404 => Ok(false),
+            other => Err(StoreError::Refused(other)),
+        }
+    }
+
+    pub async fn release(&self, permit: u64) {
+        // Best effort: the lease ends by itself soon after.
+        let path = format!("/grants/{permit}");
+        let _ = self.call(Method::DELETE, &path, None, limits::STATE_TIMEOUT).await;
+    }
+
+    /// Changes under a prefix; None when `from` is too old and the keys must be read again.
+    pub async fn follow(&self, prefix: &str, from: u64) -> Result<Option<Follow>, StoreError> {
+        let path = format!("/follow?prefix={prefix}&from={from}&wait_ms={}", limits::WATCH_MS);
+        let timeout = Duration::from_millis(limits::WATCH_MS) + limits::WATCH_SLACK;
+        let answer = self.call(Method::GET, &path, None, timeout).await?;
+        match answer.status {
+            200 => json(&answer).map(Some),
+            410 => Ok(None),
+            other => Err(StoreError::Refused(other)),
+        }
+    }
+
+    pub async fn epoch(&self) -> Result<(Option<(Epoch, u64)>, bool), StoreError> {
+        // The lock first: an epoch read after an absent lock is at least as new as its end.
+        let locked = self.get(LOCK, limits::STATE_TIMEOUT).await?.is_some();
+        let epoch = self.get(EPOCH, limits::STATE_TIMEOUT).await?;
+        let epoch = epoch
+            .map(|(value, entry)| {
+                serde_json::from_value(value)
+                    .map(|epoch| (epoch, entry))
+                    .map_err(|e| StoreError::Malformed(e.to_string()))
+            })
+            .transpose()?;
+        Ok((epoch, locked))
+    }
+
+    /// The takeover transaction. The error carries the lease to be ended, if there is one.
+    pub async fn take_over(
+        &self,
+        epoch: &Epoch,
+        entry: u64,
+        over_lock: bool,
+    ) -> Result<(u64, u64, u64), Option<u64>> {
+        let sent = self.clock.now();
+        let permit = self.grant(limits::LOCK_LEASE_MS).await.map_err(|_| None)?;
+        let mut when = vec![compare(EPOCH, entry)];
+        if !over_lock {
+            when.push(compare(LOCK, 0));
+        }
+        let value = serde_json::to_value(epoch).map_err(|_| Some(permit))?;
+        let then = vec![
+            Change::Write { write: EPOCH.into(), value: value.clone(), permit: None },
+            Change::Write { write: LOCK.into(), value, permit: Some(permit) },
+        ];
+        match self.commit(when, then).await {
+            Committed::Done { entry } => Ok((permit, entry, sent)),
+            _ => Err(Some(permit)),
+        }
+    }
+}
+
+pub const EPOCH: &str = "leader/epoch";
+pub const LOCK: &str = "leader/lock";
+pub const CATALOG: &str = "fleet/catalog";
+pub const LIVE: &str = "live/";
+pub const DONE: &str = "done/";
+pub const FLEET: &str = "fleet/machine/";
+
+pub fn live(uid: impl std::fmt::Display) -> String {
+    format!("{LIVE}{uid}")
+}
+
+pub fn over(uid: impl std::fmt::Display) -> String {
+    format!("over/{uid}")
+}
+
+pub fn done(uid: impl std::fmt::Display, chunk: u32) -> String {
+    format!("{DONE}{uid}/{chunk}")
+}
