--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -14,19 +14,51 @@
 
 const GAP: &str = "rescale gap";
 
-/// Free room per machine as a round fills it, and what is held back for critical services.
+/// Free room per machine as a round fills it, and what all jobs of the round ask for alike: worked out
+/// once a round, since a look at every machine for every job does not scale.
+#[derive(Clone)]
 pub struct Room {
+    /// Machines with room for the smallest waiting task; the others take nobody.
     free: BTreeMap<String, Resources>,
+    /// Room that stops under way will give, by machine.
+    pending: BTreeMap<String, Resources>,
+    /// Tasks of each job that were told to stop.
+    stopping: BTreeMap<Uid, u32>,
+    /// The largest shape among critical jobs and the places of it kept free in each zone.
+    shape: Option<Resources>,
+    kept: i64,
+    /// The least important class of which an array holds anything.
+    lowest: Option<Priority>,
 }
 
 impl Room {
-    fn take(&mut self, machine: &str, needs: &Resources) {
-        if let Some(free) = self.free.get_mut(machine) {
-            *free = free.minus(needs);
+    fn take(&mut self, machine: &Machine, needs: &Resources) {
+        let free = self.free.entry(machine.name.clone()).or_insert_with(|| machine.free());
+        *free = free.minus(needs);
+    }
+
+    /// The room there will be once every stop under way is confirmed.
+    fn soon(&self, machines: &BTreeMap<String, Machine>) -> Room {
+        let mut soon = self.clone();
+        for (name, pending) in &self.pending {
+            if let Some(machine) = machines.get(name) {
+                let free = soon.free.entry(name.clone()).or_insert_with(|| machine.free());
+                *free = free.plus(pending);
+            }
         }
+        soon
     }
 }
 
+/// A machine that has room for a task, as `find` weighs it.
+struct Candidate<'a> {
+    /// Kind, coldness, surplus (see `place::cost`): the same for every further task put there.
+    base: [i64; 3],
+    emptiness: i64,
+    machine: &'a Machine,
+    free: Resources,
+}
+
 impl Core {
     /// Aged rank: the priority class plus the share of a class that its age has earned, in thousandths.
     /// Every job ages from its arrival: were only waiting ones to age, a newcomer would pass earlier jobs
@@ -62,22 +94,55 @@
         order.into_iter().map(|(_, _, _, uid)| uid).collect()
     }
 
+    /// What the jobs of a round have in common, and the machines with room for any of them.
+    fn room(&mut self, order: &[Uid], probes: &mut usize) -> Room {
+        self.note_unsettled();
+        let jobs = || order.iter().filter_map(|uid| self.jobs.get(uid));
+        let least = jobs().filter(|j| !j.waiting.is_empty()).map(|j| j.spec.needs).reduce(|a, b| a.least(&b));
+        let mut room = Room {
+            free: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            stopping: BTreeMap::new(),
+            shape: self.critical_shape(),
+            kept: self.reserve_places(),
+            lowest: jobs()
+                .filter(|j| j.spec.kind == Kind::Array && !j.places.is_empty())
+                .map(|j| j.spec.priority)
+                .min(),
+        };
+        for machine in self.machines.values() {
+            *probes += 1;
+            for (id, task) in &machine.tasks {
+                if task.stopping.is_some() {
+                    *room.stopping.entry(id.uid).or_default() += 1;
+                }
+            }
+            if !self.usable(machine) {
+                continue;
+            }
+            let free = machine.free();
+            if least.is_some_and(|least| least.fits(&free)) {
+                room.free.insert(machine.name.clone(), free);
+            }
+            let pending = machine.free_soon(self.now).minus(&free);
+            if pending != Resources::default() {
+                room.pending.insert(machine.name.clone(), pending);
+            }
+        }
+        room
+    }
+
     /// One round within its budget of probes. What it could not reach is taken up by the next round.
     pub fn round(&mut self) {
         let order = self.order();
-        let mut room = Room {
-            free: self
-                .machines
-                .values()
-                .filter(|m| self.usable(m))
-                .map(|m| (m.name.clone(), m.free()))
-                .collect(),
-        };
+        let mut probes = 0;
+        let mut room = self.room(&order, &mut probes);
+        // The look at every machine is the fixed price of a round; the budget is for the jobs.
+        let budget = probes + self.config.round_probes;
         let start = self.cursor.and_then(|uid| order.iter().position(|u| *u == uid)).unwrap_or(0);
         self.cursor = None;
-        let mut probes = 0;
         for uid in &order[start..] {
-            if probes >= self.config.round_probes {
+            if probes >= budget {
                 self.cursor = Some(*uid);
                 debug!(job = %uid, "round out of budget, goes on here");
                 break;
@@ -88,11 +153,15 @@
         // Room that no job outside the gap takes would lie idle: it goes to those inside.
         for uid in order {
             let in_gap = self.jobs.get(&uid).is_some_and(|j| j.waits_for == GAP && !j.waiting.is_empty());
-            if in_gap && probes < self.config.round_probes {
+            if in_gap && probes < budget && !room.free.is_empty() {
                 self.consider(uid, &[], true, &mut room, &mut probes);
             }
         }
-        self.round_due = if self.cursor.is_some() { 0 } else { self.now + limits::ROUND_IDLE };
+        self.probes += probes as u64;
+        let idle = if self.cursor.is_some() { 0 } else { limits::ROUND_IDLE };
+        let rest = limits::round_rest(probes, self.config.cpu_share);
+        self.round_from = self.now + rest;
+        self.round_due = self.now + rest.max(idle);
     }
 
     fn wait(&mut self, uid: Uid, why: &'static str) {
@@ -128,7 +197,7 @@
             self.stop_all(uid);
             return self.wait(uid, "its gang is incomplete");
         }
-        let running = held - self.stopping(job);
+        let running = held.saturating_sub(room.stopping.get(&uid).copied().unwrap_or(0));
         let fresh = held == 0;
         // Width is kept without regard to the gap; growth beyond it waits for the gap to pass.
         let target = if fresh || leftover || !self.in_gap(job) {
@@ -178,8 +247,11 @@
         }
     }
 
-    /// Machines for up to `want` tasks of the job, the best ones first; an entry per task.
+    /// Machines for up to `want` tasks of the job, the best ones first; an entry per task. A machine
+    /// that is best stays best until it is full, since each task only makes it fuller; so the candidates
+    /// are weighed once, and the zones are compared by their best ones.
     fn find(&self, job: &Job, want: u32, room: &Room, probes: &mut usize) -> Vec<String> {
+        *probes += room.free.len();
         let mut zones = ZoneCount::of(job, &self.machines);
         let pinned = if job.spec.one_zone && job.places.is_empty() {
             match self.best_zone(job, room) {
@@ -189,36 +261,55 @@
         } else {
             None
         };
-        let mut used: BTreeMap<&str, Resources> = BTreeMap::new();
-        let mut found = Vec::new();
+        let needs = &job.spec.needs;
         let mut reserve = self.reserve_room(room, job);
-        while (found.len() as u32) < want && *probes < 2 * self.config.round_probes {
-            let mut best: Option<(_, &Machine)> = None;
-            for (name, free) in &room.free {
-                *probes += 1;
-                let Some(machine) = self.machines.get(name) else { continue };
-                let free = used.get(name.as_str()).unwrap_or(free);
-                if !job.spec.needs.fits(free)
-                    || !place::allowed(job, machine)
-                    || !zones.allows(job, &machine.zone)
-                    || machine.surplus && job.spec.spot
-                    || machine.slow_until > self.now && job.spec.kind != Kind::Service
-                    || pinned.as_ref().is_some_and(|z| *z != machine.zone)
-                    || !reserve.spares(machine, free, &job.spec.needs)
-                {
-                    continue;
-                }
-                let cost = place::cost(job, machine, free, &zones);
-                if best.as_ref().is_none_or(|(c, m)| (&cost, &machine.name) < (c, &m.name)) {
-                    best = Some((cost, machine));
-                }
+        let mut by_zone: BTreeMap<&str, Vec<Candidate>> = BTreeMap::new();
+        for (name, free) in &room.free {
+            let Some(machine) = self.machines.get(name).filter(|_| needs.fits(free)) else { continue };
+            if !place::allowed(job, machine)
+                || machine.surplus && job.spec.spot
+                || machine.slow_until > self.now && job.spec.kind != Kind::Service
+                || pinned.as_ref().is_some_and(|z| *z != machine.zone)
+            {
+                continue;
+            }
+            let (base, emptiness) = place::cost(job, machine, free);
+            let candidate = Candidate { base, emptiness, machine, free: *free };
+            by_zone.entry(&machine.zone).or_default().push(candidate);
+        }
+        for candidates in by_zone.values_mut() {
+            *probes += candidates.len();
+            // The best one last, where it is taken from.
+            candidates.sort_unstable_by(|a, b| {
+                (b.base, b.emptiness, &b.machine.name).cmp(&(a.base, a.emptiness, &a.machine.name))
+            });
+        }
+        let critical = job.spec.priority == Priority::Critical;
+        let mut found = Vec::new();
+        while (found.len() as u32) < want {
+            *probes += 1;
+            let open = by_zone.iter().filter(|(zone, _)| zones.allows(job, zone));
+            let best = open
+                .filter_map(|(zone, candidates)| candidates.last().map(|c| (*zone, c)))
+                .min_by_key(|(zone, c)| {
+                    let here = if critical { i64::from(zones.get(zone)) } else { 0 };
+                    (c.base, here, c.emptiness, &c.machine.name)
+                })
+                .map(|(zone, _)| zone);
+            let Some(candidates) = best.and_then(|zone| by_zone.get_mut(zone)) else { break };
+            let Some(best) = candidates.last_mut() else { break };
+            if !reserve.spares(best.machine, &best.free, needs) {
+                candidates.pop();
+                continue;
+            }
+            reserve.take(best.machine, &best.free, needs);
+            zones.add(&best.machine.zone);
+            found.push(best.machine.name.clone());
+            best.free = best.free.minus(needs);
+            best.emptiness = place::emptiness(job, &best.free);
+            if !needs.fits(&best.free) {
+                candidates.pop();
             }
-            let Some((_, machine)) = best else { break };
-            let free = used.get(machine.name.as_str()).copied().unwrap_or(room.free[&machine.name]);
-            reserve.take(machine, &free, &job.spec.needs);
-            used.insert(&machine.name, free.minus(&job.spec.needs));
-            zones.add(&machine.zone);
-            found.push(machine.name.clone());
         }
         found
     }
@@ -246,21 +337,23 @@
         probes: &mut usize,
     ) -> bool {
         let Some(job) = self.jobs.get(&uid) else { return false };
+        let needs = job.spec.needs;
         // Room that stops under way will free counts as found, so that nobody shrinks twice for it.
-        let mut soon = Room { free: BTreeMap::new() };
-        for name in room.free.keys() {
-            if let Some(machine) = self.machines.get(name) {
-                let pending = machine.free_soon(self.now).minus(&machine.free());
-                soon.free.insert(name.clone(), room.free[name].plus(&pending));
-            }
-        }
-        let coming = self.find(job, missing, &soon, probes);
+        let soon = room.soon(&self.machines);
+        let coming =
+            if room.pending.is_empty() { Vec::new() } else { self.find(job, missing, &soon, probes) };
         if coming.len() as u32 >= missing {
             // Hold the room for this job: nobody later in the round may take it.
-            coming.iter().for_each(|machine| room.take(machine, &job.spec.needs));
+            coming.iter().filter_map(|m| self.machines.get(m)).for_each(|m| room.take(m, &needs));
             self.wait(uid, "stops under way");
             return true;
         }
+        let may_any = room.lowest.is_some_and(|lowest| lowest < job.spec.priority)
+            || self.within_guarantee(&job.spec.team, &needs);
+        if !may_any {
+            self.wait(uid, "no free slot, and nobody below it runs");
+            return false;
+        }
         // A critical job that cannot start goes on where the design stops: jobs inside the gap yield too,
         // and then jobs below their minimum. A swarm of lower jobs pinned at one task each would
         // otherwise keep it out until a machine has booted.
@@ -269,7 +362,7 @@
             _ => &[(true, true)],
         };
         let chosen = stages.iter().find_map(|(gap, minimum)| {
-            let mut soon = Room { free: soon.free.clone() };
+            let mut soon = soon.clone();
             let stops = self.victims(job, missing, order, &mut soon, (*gap, *minimum), probes);
             let targets = self.find(job, missing, &soon, probes);
             (targets.len() as u32 >= missing).then_some((stops, targets))
@@ -278,10 +371,9 @@
             self.wait(uid, "no free slot, and lower jobs cannot yield its minimum");
             return false;
         };
-        let needs = job.spec.needs;
         // Stops on machines that the newcomer ends up not using would be for nothing.
         stops.retain(|(name, _)| targets.contains(name));
-        targets.iter().for_each(|machine| room.take(machine, &needs));
+        targets.iter().filter_map(|m| self.machines.get(m)).for_each(|m| room.take(m, &needs));
         for (machine, id) in stops {
             debug!(task = %id, machine, newcomer = %uid, "shrink");
             self.decided(format!("stop {id} on {machine} for {uid}"));
@@ -290,6 +382,9 @@
             if let Some(victim) = self.jobs.get_mut(&id.uid) {
                 victim.rescaled = now;
                 victim.width = victim.width.saturating_sub(1).max(victim.minimum());
+                let freed = room.pending.entry(machine.clone()).or_default();
+                *freed = freed.plus(&victim.spec.needs);
+                *room.stopping.entry(id.uid).or_default() += 1;
             }
             self.stop(&machine, id, grace);
         }
@@ -311,7 +406,7 @@
         let mut stops = Vec::new();
         for victim in order.iter().rev().filter_map(|v| self.jobs.get(v)) {
             *probes += 1;
-            if gap && self.in_gap(victim) || !self.may_preempt(job, victim) {
+            if victim.places.is_empty() || gap && self.in_gap(victim) || !self.may_preempt(job, victim) {
                 continue;
             }
             let mut running: Vec<_> = self
@@ -324,12 +419,12 @@
             while running.len() as u32 > floor {
                 let Some((_, id, name)) = running.pop() else { break };
                 *probes += 1;
-                let Some(free) = soon.free.get_mut(name) else { continue };
-                let Some(machine) = self.machines.get(name) else { continue };
+                let Some(machine) = self.machines.get(name).filter(|m| self.usable(m)) else { continue };
                 // A stop that cannot help the newcomer would be for nothing.
                 if !place::allowed(job, machine) {
                     continue;
                 }
+                let free = soon.free.entry(name.to_string()).or_insert_with(|| machine.free());
                 *free = free.plus(&victim.spec.needs);
                 stops.push((name.to_string(), id));
                 if self.find(job, missing, soon, probes).len() as u32 >= missing {
@@ -354,23 +449,21 @@
                 && !self.within_guarantee(&victim.spec.team, &Resources::default())
     }
 
-    fn stopping(&self, job: &Job) -> u32 {
-        self.placed(job).filter(|(_, _, t)| t.stopping.is_some()).count() as u32
-    }
-
     fn assign(&mut self, uid: Uid, machine: &str, attempt: u64, room: &mut Room) {
         let Some(job) = self.jobs.get_mut(&uid) else { return };
         let Some(task) = job.waiting.pop_first() else { return };
         job.places.entry(task).or_default().push(machine.into());
         let (needs, image) = (job.spec.needs, job.spec.image.clone());
-        room.take(machine, &needs);
+        if let Some(machine) = self.machines.get(machine) {
+            room.take(machine, &needs);
+        }
         self.place_on(machine, TaskId { uid, task }, needs, image, attempt);
     }
 
     /// Room held back in each zone for critical services, against everyone else's tasks.
     fn reserve_room(&self, room: &Room, job: &Job) -> Reserve {
         let mut reserve = Reserve { shape: None, spare: BTreeMap::new() };
-        let Some(shape) = self.critical_shape() else { return reserve };
+        let Some(shape) = room.shape else { return reserve };
         if job.spec.priority == Priority::Critical {
             return reserve;
         }
@@ -379,8 +472,7 @@
                 *reserve.spare.entry(machine.zone.clone()).or_default() += shape.count_in(free);
             }
         }
-        let kept = self.reserve_places();
-        reserve.spare.values_mut().for_each(|n| *n -= kept);
+        reserve.spare.values_mut().for_each(|n| *n -= room.kept);
         reserve.shape = Some(shape);
         reserve
     }
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -26,6 +26,8 @@
     pub moved: u64,
     /// Machines that are provably gone; names are never used again.
     pub gone: BTreeSet<String>,
+    /// A plan that its budget did not suffice for; the next round goes on with it.
+    plan: Option<Plan>,
 }
 
 impl Fleet {
@@ -35,26 +37,40 @@
 }
 
 /// A machine that is not there yet, as the plan fills it.
+#[derive(Debug)]
 struct Planned {
     offer: Offer,
     room: Resources,
     used: bool,
 }
 
+/// The queue packed into what is coming and, beyond that, into new machines.
+#[derive(Debug)]
+struct Plan {
+    queue: std::vec::IntoIter<Uid>,
+    planned: Vec<Planned>,
+    /// How many machines of each offer are coming or wanted.
+    count: BTreeMap<Offer, usize>,
+    wanted: BTreeMap<Offer, u32>,
+}
+
 impl Core {
     pub fn fleet_round(&mut self) {
         if self.now < self.fleet.due {
             return;
         }
-        self.fleet.due = self.now + limits::FLEET_ROUND;
-        self.account();
-        self.delete_lost();
-        // Before the machines of the last leader are known, every one of them would look missing.
-        if self.settled && !self.types.is_empty() {
-            self.mark_surplus();
-            self.move_replica();
-            self.plan();
+        if self.fleet.plan.is_none() {
+            self.account();
+            self.delete_lost();
+            // Before the machines of the last leader are known, every one of them would look missing.
+            if self.settled && !self.types.is_empty() {
+                self.mark_surplus();
+                self.move_replica();
+                self.begin_plan();
+            }
         }
+        let complete = self.go_on_planning();
+        self.fleet.due = self.now + if complete { limits::FLEET_ROUND } else { limits::FLEET_REST };
     }
 
     fn offers(
@@ -80,13 +96,39 @@
         self.fleet.refused.get(offer).is_some_and(|(until, _)| self.now < *until)
     }
 
-    /// Packs the queue and the reserve into what is free, what is coming, and then new machines.
-    fn plan(&mut self) {
-        let mut planned = self.coming();
-        let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
-        self.plan_queue(&mut planned, &mut wanted);
-        let kept = self.plan_reserve(&mut planned, &mut wanted);
-        for (offer, count) in wanted {
+    fn begin_plan(&mut self) {
+        let queue = self.jobs.values().filter(|j| !j.over && !j.waiting.is_empty());
+        let mut queue: Vec<&Job> = queue.filter(|j| j.paused_until <= self.now).collect();
+        queue.sort_by_key(|j| (std::cmp::Reverse(self.rank(j)), j.arrived, j.spec.uid));
+        let queue: Vec<Uid> = queue.into_iter().map(|j| j.spec.uid).collect();
+        let planned = self.coming();
+        let mut count = BTreeMap::new();
+        planned.iter().for_each(|p| *count.entry(p.offer.clone()).or_default() += 1);
+        self.fleet.plan = Some(Plan { queue: queue.into_iter(), planned, count, wanted: BTreeMap::new() });
+    }
+
+    /// Packs the queue and the reserve into what is coming and then new machines, within a budget;
+    /// rents and returns machines when that is through. Returns whether it is.
+    fn go_on_planning(&mut self) -> bool {
+        let Some(mut plan) = self.fleet.plan.take() else { return true };
+        let mut probes = 0;
+        while probes < self.config.round_probes {
+            let Some(uid) = plan.queue.next() else {
+                self.carry_out_plan(plan);
+                return true;
+            };
+            if let Some(job) = self.jobs.get(&uid).filter(|j| !j.over) {
+                self.plan_job(job, &mut plan, &mut probes);
+            }
+        }
+        self.probes += probes as u64;
+        self.fleet.plan = Some(plan);
+        false
+    }
+
+    fn carry_out_plan(&mut self, mut plan: Plan) {
+        let kept = self.plan_reserve(&mut plan);
+        for (offer, count) in plan.wanted {
             if self.fleet.renting.values().any(|(o, _)| *o == offer) {
                 continue;
             }
@@ -123,76 +165,65 @@
             .collect()
     }
 
-    fn plan_queue(&self, planned: &mut Vec<Planned>, wanted: &mut BTreeMap<Offer, u32>) {
-        let mut queue: Vec<&Job> = self
-            .jobs
-            .values()
-            .filter(|j| !j.over && !j.waiting.is_empty() && j.paused_until <= self.now)
+    fn plan_job(&self, job: &Job, plan: &mut Plan, probes: &mut usize) {
+        let needs = &job.spec.needs;
+        let mut zones = ZoneCount::of(job, &self.machines);
+        let limited = self.team_limited(&job.spec.team);
+        let most = if limited { self.team_room(job) } else { u32::MAX };
+        let mut left = (job.waiting.len() as u32).min(most);
+        // What is coming, machines in use and with the least room first.
+        *probes += 1 + plan.planned.len();
+        let mut fitting: Vec<&mut Planned> = plan
+            .planned
+            .iter_mut()
+            .filter(|p| {
+                needs.fits(&p.room) && job.spec.allows_type(&p.offer.0) && (!p.offer.2 || job.spec.spot)
+            })
             .collect();
-        queue.sort_by_key(|j| (std::cmp::Reverse(self.rank(j)), j.arrived, j.spec.uid));
-        let mut probes = 0;
-        for job in queue {
-            let mut zones = ZoneCount::of(job, &self.machines);
-            let limited = self.team_limited(&job.spec.team);
-            let most = if limited { self.team_room(job) as usize } else { usize::MAX };
-            for _ in job.waiting.iter().take(most) {
-                probes += 1 + planned.len();
-                if probes > self.config.round_probes {
-                    return;
-                }
-                if !self.plan_task(job, &mut zones, planned, wanted) {
-                    break;
-                }
+        fitting.sort_by_key(|p| (!p.used, p.room.gpus));
+        for p in fitting {
+            while left > 0 && needs.fits(&p.room) && zones.allows(job, &p.offer.1) {
+                p.room = p.room.minus(needs);
+                p.used = true;
+                zones.add(&p.offer.1);
+                left -= 1;
             }
         }
-    }
-
-    fn plan_task(
-        &self,
-        job: &Job,
-        zones: &mut ZoneCount,
-        planned: &mut Vec<Planned>,
-        wanted: &mut BTreeMap<Offer, u32>,
-    ) -> bool {
-        let needs = &job.spec.needs;
-        let takes = |p: &Planned, zones: &ZoneCount| {
-            needs.fits(&p.room)
-                && job.spec.allows_type(&p.offer.0)
-                && zones.allows(job, &p.offer.1)
-                && (!p.offer.2 || job.spec.spot)
-        };
-        if let Some(p) = planned.iter_mut().filter(|p| takes(p, zones)).min_by_key(|p| (!p.used, p.room.gpus))
-        {
-            p.room = p.room.minus(needs);
-            p.used = true;
-            zones.add(&p.offer.1);
-            return true;
+        if left == 0 {
+            return;
         }
         let patient = self.now < job.arrived + limits::micros(self.config.operator.spot_patience_s);
-        let mut offers = self.offers(|t| job.spec.allows_type(t), |z| zones.allows(job, z), job.spec.spot);
+        let mut offers = self.offers(|t| job.spec.allows_type(t), |_| true, job.spec.spot);
         offers.retain(|(_, o)| {
-            self.types.get(&o.0).is_some_and(|t| needs.fits(&t.has)) && !(job.spec.spot && !o.2 && patient)
+            let fits = self.types.get(&o.0).is_some_and(|t| needs.fits(&t.has));
+            fits && !(job.spec.spot && !o.2 && patient) && !self.refused(o)
         });
-        // Equal prices: the zone with fewer of the job's tasks, then the one with fewer machines.
-        let load = |o: &Offer| planned.iter().filter(|p| p.offer == *o).count();
-        let best = offers.into_iter().filter(|(_, o)| !self.refused(o)).min_by(|a, b| {
-            a.0.total_cmp(&b.0)
-                .then_with(|| (zones.get(&a.1 .1), load(&a.1)).cmp(&(zones.get(&b.1 .1), load(&b.1))))
-        });
-        let Some((_, offer)) = best else { return false };
-        let Some(t) = self.types.get(&offer.0) else { return false };
-        zones.add(&offer.1);
-        *wanted.entry(offer.clone()).or_default() += 1;
-        planned.push(Planned { offer, room: t.has.minus(needs), used: true });
-        true
+        while left > 0 {
+            *probes += offers.len();
+            // Equal prices: the zone with fewer of the job's tasks, then the one with fewer machines.
+            let load = |o: &Offer| plan.count.get(o).copied().unwrap_or(0);
+            let open = offers.iter().filter(|(_, o)| zones.allows(job, &o.1));
+            let best = open.min_by(|a, b| {
+                a.0.total_cmp(&b.0)
+                    .then_with(|| (zones.get(&a.1 .1), load(&a.1)).cmp(&(zones.get(&b.1 .1), load(&b.1))))
+            });
+            let Some((_, offer)) = best else { return };
+            let Some(t) = self.types.get(&offer.0) else { return };
+            let mut room = t.has;
+            // One task at a time would be fairer to the zones, but a machine that is paid for is filled.
+            while left > 0 && needs.fits(&room) && zones.allows(job, &offer.1) {
+                room = room.minus(needs);
+                zones.add(&offer.1);
+                left -= 1;
+            }
+            *plan.wanted.entry(offer.clone()).or_default() += 1;
+            *plan.count.entry(offer.clone()).or_default() += 1;
+            plan.planned.push(Planned { offer: offer.clone(), room, used: true });
+        }
     }
 
     /// Keeps places for critical services in each zone; returns the machines they rest on.
-    fn plan_reserve(
-        &self,
-        planned: &mut Vec<Planned>,
-        wanted: &mut BTreeMap<Offer, u32>,
-    ) -> BTreeSet<String> {
+    fn plan_reserve(&self, plan: &mut Plan) -> BTreeSet<String> {
         let mut kept = BTreeSet::new();
         let Some(shape) = self.critical_shape() else { return kept };
         for zone in &self.config.zones {
@@ -212,7 +243,7 @@
                     kept.insert(machine.name.clone());
                 }
             }
-            for p in planned.iter_mut().filter(|p| !p.offer.2 && p.offer.1 == *zone) {
+            for p in plan.planned.iter_mut().filter(|p| !p.offer.2 && p.offer.1 == *zone) {
                 let places = shape.count_in(&p.room);
                 if open > 0 && places > 0 {
                     open -= places;
@@ -227,8 +258,7 @@
                 let Some((_, offer)) = fits else { break };
                 let Some(t) = self.types.get(&offer.0) else { break };
                 open -= shape.count_in(&t.has).max(1);
-                *wanted.entry(offer.clone()).or_default() += 1;
-                planned.push(Planned { offer, room: Resources::default(), used: true });
+                *plan.wanted.entry(offer).or_default() += 1;
             }
         }
         kept
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -25,6 +25,8 @@
     pub zones: Vec<String>,
     pub list_lag_s: f64,
     pub round_probes: usize,
+    /// The share of a processor core that this process has.
+    pub cpu_share: f64,
 }
 
 /// A job as the state service has it.
@@ -63,6 +65,17 @@
     Unknown,
 }
 
+/// What a report turned out to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Taken {
+    /// The round should look at what it brought.
+    News,
+    /// It lists what the last one did.
+    Unchanged,
+    /// A copy of one that was taken already, or from a machine that is gone.
+    Late,
+}
+
 #[derive(Debug)]
 pub enum Command {
     /// What the state service held when this leader took over.
@@ -163,8 +176,17 @@
     ledger: overview::Ledger,
     /// Where the last round of decisions stopped.
     cursor: Option<Uid>,
+    /// The next round is due without news then, and allowed with news from then on.
     round_due: u64,
+    round_from: u64,
     news: bool,
+    /// Probes of all rounds so far: what a test bounds instead of time.
+    pub probes: u64,
+    /// Check-ins whose reports brought news: answered by the next round, which may have a start for them.
+    held: Vec<(u64, String)>,
+    expire_due: u64,
+    /// Kinds of machine (type, zone, spot) of which earlier leaders' have not all reported.
+    unsettled: BTreeSet<fleet::Offer>,
     attempts: u64,
     /// All machines of earlier leaders are accounted for.
     settled: bool,
@@ -187,7 +209,12 @@
             ledger: overview::Ledger::default(),
             cursor: None,
             round_due: 0,
+            round_from: 0,
             news: true,
+            probes: 0,
+            held: Vec::new(),
+            expire_due: 0,
+            unsettled: BTreeSet::new(),
             attempts: 0,
             settled: false,
             kept_alive: now,
@@ -203,12 +230,11 @@
     /// Takes a batch, decides within the budget, and says what is to be done.
     pub fn step(&mut self, now: u64, batch: Vec<Command>) -> Vec<Effect> {
         self.now = self.now.max(now);
-        let mut replies = Vec::new();
         for command in batch {
-            self.take(command, &mut replies);
+            self.take(command);
         }
         self.expire();
-        if self.loaded && (self.news || self.now >= self.round_due) {
+        if self.loaded && (self.news && self.now >= self.round_from || self.now >= self.round_due) {
             self.news = false;
             self.round();
             self.commit_done();
@@ -217,6 +243,9 @@
             self.fleet_round();
             self.direct_stops();
         }
+        // A report with news waits for the round, which is never far.
+        let held = self.news && self.loaded;
+        let replies = if held { Vec::new() } else { std::mem::take(&mut self.held) };
         for (reply, machine) in replies {
             let orders = self.answer(&machine);
             self.effects.push(Effect::Answer { reply, orders });
@@ -224,7 +253,7 @@
         std::mem::take(&mut self.effects)
     }
 
-    fn take(&mut self, command: Command, replies: &mut Vec<(u64, String)>) {
+    fn take(&mut self, command: Command) {
         match command {
             Command::Load { jobs, machines } => self.load(jobs, machines),
             Command::JobAdded(stored) => self.add_job(stored, false),
@@ -234,10 +263,13 @@
                     self.effects.push(Effect::Deposed(report.token));
                     return;
                 }
-                replies.push((reply, report.machine.clone()));
-                self.report(report, true);
+                return self.checkin(reply, report);
+            }
+            Command::OrdersAnswered(report) => {
+                if self.report(report, false) != Taken::News {
+                    return;
+                }
             }
-            Command::OrdersAnswered(report) => self.report(report, false),
             Command::Committed { uid, tasks, outcome } => self.committed(uid, tasks, outcome),
             Command::Finished { uid, outcome } => match outcome {
                 Outcome::Done => self.remove_job(uid),
@@ -270,6 +302,22 @@
         self.news = true;
     }
 
+    fn checkin(&mut self, reply: u64, report: Report) {
+        let name = report.machine.clone();
+        match self.report(report, true) {
+            Taken::News => {
+                self.news = true;
+                self.held.push((reply, name));
+            }
+            Taken::Unchanged => {
+                let orders = self.answer(&name);
+                self.effects.push(Effect::Answer { reply, orders });
+            }
+            // A copy, or a machine that is gone: nobody waits for commands, and no lease hangs on it.
+            Taken::Late => self.effects.push(Effect::Answer { reply, orders: Vec::new() }),
+        }
+    }
+
     fn load(&mut self, jobs: Vec<StoredJob>, machines: Vec<StoredMachine>) {
         info!(jobs = jobs.len(), machines = machines.len(), "loaded");
         for stored in jobs {
@@ -410,12 +458,29 @@
             && self.now < machine.heard + limits::silent(self.config.workers.report_s)
     }
 
-    /// Whether every machine that an earlier leader may have started the job on is accounted for.
+    /// Whether every machine that an earlier leader may have started the job on is accounted for, as of
+    /// the beginning of the round.
     pub fn settled_for(&self, job: &Job) -> bool {
-        self.settled || !self.machines.values().any(|m| m.recorded && !m.settled && place::allowed(job, m))
+        let may_use = |(machine_type, zone, spot): &fleet::Offer| {
+            job.spec.allows_type(machine_type) && job.spec.allows_zone(zone) && (!spot || job.spec.spot)
+        };
+        self.settled || !self.unsettled.iter().any(may_use)
+    }
+
+    fn note_unsettled(&mut self) {
+        let open = self.machines.values().filter(|m| m.recorded && !m.settled);
+        self.unsettled = if self.settled {
+            BTreeSet::new()
+        } else {
+            open.map(|m| (m.machine_type.clone(), m.zone.clone(), m.spot)).collect()
+        };
     }
 
     fn expire(&mut self) {
+        if self.now < self.expire_due {
+            return;
+        }
+        self.expire_due = self.now + limits::EXPIRE_EVERY;
         let lease = limits::worker_lease(self.config.workers.lease_s);
         let now = self.now;
         let alive = self.started.max(self.kept_alive);
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -84,6 +84,15 @@
         Resources { cpus: self.cpus - o.cpus, gpus: self.gpus - o.gpus, memory: self.memory - o.memory }
     }
 
+    /// The smaller of each amount.
+    pub fn least(&self, o: &Resources) -> Self {
+        Resources {
+            cpus: self.cpus.min(o.cpus),
+            gpus: self.gpus.min(o.gpus),
+            memory: self.memory.min(o.memory),
+        }
+    }
+
     pub fn times(&self, n: i64) -> Self {
         Resources { cpus: self.cpus * n, gpus: self.gpus * n, memory: self.memory * n }
     }
@@ -181,7 +190,7 @@
     pub tasks: Vec<ReportedTask>,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ReportedTask {
     pub id: TaskId,
     pub attempt: u64,
@@ -237,6 +246,8 @@
     /// The last time an answer may have renewed its lease.
     pub answered: u64,
     pub tasks: BTreeMap<TaskId, Placed>,
+    /// The task list of the newest report, to tell an unchanged one by.
+    pub listed: Vec<ReportedTask>,
     /// Exited tasks still listed: (task, attempt) -> cause.
     pub exited: BTreeMap<(TaskId, u64), Cause>,
     /// Tasks of jobs that this leader does not know, to be stopped: (task, attempt).
@@ -262,6 +273,19 @@
 }
 
 impl Machine {
+    /// Nothing is under way between it and us: it would be told nothing, and a report that lists what
+    /// the last one did says nothing new.
+    pub fn calm(&self) -> bool {
+        self.phase == Phase::Up
+            && self.settled
+            && self.recorded
+            && !self.images_changed
+            && self.recall_at.is_none()
+            && self.foreign.is_empty()
+            && self.exited.is_empty()
+            && self.tasks.values().all(|t| t.seen && t.stopping.is_none())
+    }
+
     /// How long a task with this image would wait for it, in fetches: none where the image is, and
     /// one more for every other image that is being fetched, since they share the rate.
     pub fn fetches(&self, image: &str) -> i64 {
@@ -269,8 +293,10 @@
             return 0;
         }
         let waiting = self.tasks.values().filter(|t| t.status == TaskStatus::Fetching);
-        let others: BTreeSet<&str> =
+        let mut others: Vec<&str> =
             waiting.map(|t| t.image.as_str()).filter(|i| *i != image && !self.images.contains(*i)).collect();
+        others.sort_unstable();
+        others.dedup();
         1 + others.len() as i64
     }
 
--- a/src/core/place.rs
+++ b/src/core/place.rs
@@ -10,6 +10,10 @@
 impl ZoneCount {
     pub fn of(job: &Job, machines: &BTreeMap<String, Machine>) -> Self {
         let mut count = ZoneCount::default();
+        // A job to which zones make no difference need not be counted.
+        if !job.spec.spread && !job.spec.one_zone && job.spec.priority != Priority::Critical {
+            return count;
+        }
         for machine in job.places.values().flatten().filter_map(|name| machines.get(name)) {
             count.add(&machine.zone);
         }
@@ -47,16 +51,17 @@
 }
 
 /// Smaller is better. Work that may use spot machines leaves the ordinary ones to those that may
-/// not; a warm image saves the fetch; full machines are filled first so that others empty.
-pub fn cost(job: &Job, machine: &Machine, room: &Resources, zones: &ZoneCount) -> [i64; 5] {
+/// not; a warm image saves the fetch; full machines are filled first so that others empty. The first
+/// part stays the same for every further task of the job that is put there.
+pub fn cost(job: &Job, machine: &Machine, room: &Resources) -> ([i64; 3], i64) {
     let kind = i64::from(job.spec.spot && !machine.spot);
     let cold = machine.fetches(&job.spec.image);
     let surplus = i64::from(machine.surplus);
+    ([kind, cold, surplus], emptiness(job, room))
+}
+
+/// What a task would leave of the room.
+pub fn emptiness(job: &Job, room: &Resources) -> i64 {
     let left = room.minus(&job.spec.needs);
-    let emptiness = left.gpus * 1000 + left.cpus;
-    if job.spec.priority == Priority::Critical {
-        [kind, cold, surplus, i64::from(zones.get(&machine.zone)), emptiness]
-    } else {
-        [kind, cold, surplus, 0, emptiness]
-    }
+    left.gpus * 1000 + left.cpus
 }
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -1,7 +1,7 @@
 //! What workers report, and what they are told.
 
 use super::model::*;
-use super::{Core, Effect, Order, Outcome, StoredMachine};
+use super::{Core, Effect, Order, Outcome, StoredMachine, Taken};
 use crate::limits;
 use std::collections::{BTreeMap, BTreeSet};
 use tracing::{debug, info, warn};
@@ -29,6 +29,7 @@
             heard: 0,
             answered: 0,
             tasks: BTreeMap::new(),
+            listed: Vec::new(),
             exited: BTreeMap::new(),
             foreign: BTreeSet::new(),
             images: BTreeSet::new(),
@@ -49,11 +50,29 @@
 
     /// Takes in a task list. `checkin`: it came as a check-in, which proves that the answer to the
     /// one before was carried out or dropped; an answer to direct commands proves no such thing.
-    pub fn report(&mut self, report: Report, checkin: bool) {
+    pub fn report(&mut self, report: Report, checkin: bool) -> Taken {
         // A report that a cut held back may arrive after its machine was returned; its tasks are long
         // elsewhere, and taking it in would make them seem to be in two places.
-        if !self.loaded || self.fleet.gone.contains(&report.machine) {
-            return;
+        if !self.loaded {
+            return Taken::Unchanged;
+        }
+        if self.fleet.gone.contains(&report.machine) {
+            return Taken::Late;
+        }
+        let (now, token) = (self.now, self.config.token);
+        if let Some(machine) = self.machines.get_mut(&report.machine) {
+            let unchanged = checkin
+                && report.session == machine.session
+                && report.seq > machine.seq
+                && report.token == token
+                && report.notice_s.is_none()
+                && machine.calm()
+                && report.tasks == machine.listed;
+            if unchanged {
+                machine.seq = report.seq;
+                machine.heard = now;
+                return Taken::Unchanged;
+            }
         }
         let stored = StoredMachine {
             name: report.machine.clone(),
@@ -63,12 +82,12 @@
             address: report.address.clone(),
             images: BTreeSet::new(),
         };
-        let (now, token) = (self.now, self.config.token);
+        let expected = self.machines.contains_key(&report.machine);
         let machine = self.machine(&stored);
         // Held messages arrive late and out of order: only the newest list counts.
         if (report.session, report.seq) <= (machine.session, machine.seq) {
             debug!(machine = report.machine, "late report ignored");
-            return;
+            return Taken::Late;
         }
         if report.session > machine.session {
             if machine.session > 0 {
@@ -81,7 +100,7 @@
             // Whatever an earlier session held died with its lease.
             self.clear_machine(&report.machine);
         }
-        let Some(machine) = self.machines.get_mut(&report.machine) else { return };
+        let Some(machine) = self.machines.get_mut(&report.machine) else { return Taken::Late };
         machine.session = report.session;
         machine.seq = report.seq;
         machine.address = report.address;
@@ -93,8 +112,17 @@
                 machine.phase = Phase::Up;
             }
         }
-        machine.settled |= report.token == token;
         machine.recall_at = report.notice_s.map(|s| now + limits::micros(s));
+        machine.settled |= report.token == token;
+        if !machine.settled {
+            // Its first report to this leader, or a copy of one made for an earlier leader, which may be
+            // of any age: its list proves nothing, and taken in, it would make tasks seem to be in two
+            // places. The next report states our token. A machine that nobody expects may be long gone.
+            if expected && !machine.recorded {
+                self.record(&report.machine);
+            }
+            return Taken::News;
+        }
         let listed = self.take_listed(&report.machine, &report.tasks);
         self.drop_unlisted(&report.machine, &listed, (report.session, report.seq), checkin);
         if report.notice_s.is_some() {
@@ -104,6 +132,10 @@
         if !machine.recorded || machine.images_changed {
             self.record(&report.machine);
         }
+        if let Some(machine) = self.machines.get_mut(&report.machine) {
+            machine.listed = report.tasks;
+        }
+        Taken::News
     }
 
     /// Updates what the report lists and returns its living (task, attempt) pairs.
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -82,6 +82,21 @@
 /// Placement probes of one round of decisions; the next round goes on where this one stopped.
 /// 4,000 probes take about 2 ms on a full core.
 pub const ROUND_PROBES: usize = 4_000;
+/// What a probe costs in microseconds of a full core, a margin included, and the share of this process's
+/// processor time that rounds may take: after a round the next one waits until it is paid for.
+pub const PROBE_COST: f64 = 0.4;
+pub const ROUND_SHARE: f64 = 0.3;
+/// Rounds are never further apart than this while there is news: check-ins wait for them.
+pub const ROUND_REST_MOST: u64 = 300_000;
+
+/// The rest after a round of so many probes.
+pub fn round_rest(probes: usize, cpu_share: f64) -> u64 {
+    let cost = probes as f64 * PROBE_COST / (cpu_share.clamp(0.001, 1.0) * ROUND_SHARE);
+    (cost as u64).min(ROUND_REST_MOST)
+}
+
+/// How often leases are looked at: small against every lease and its margin.
+pub const EXPIRE_EVERY: u64 = 250_000;
 /// A round without news runs this often, for gaps and ages that have run out.
 pub const ROUND_IDLE: u64 = 500_000;
 /// Room of a stop that is not confirmed this long after its grace is not counted on any more.
@@ -115,6 +130,8 @@
 
 /// How often the fleet is weighed.
 pub const FLEET_ROUND: u64 = 1_000_000;
+/// A plan that its budget did not suffice for goes on after this.
+pub const FLEET_REST: u64 = 100_000;
 /// A boot that takes this many times the nominal time is given up (most take at most 1.5 times).
 pub const BOOT_GIVE_UP: f64 = 3.0;
 /// First pause after a refused rental of one type, zone and kind; doubles up to the longest.
--- a/src/server.rs
+++ b/src/server.rs
@@ -139,6 +139,7 @@
             zones: deployment.zones.clone(),
             list_lag_s: deployment.cloud.list_lag_s,
             round_probes: limits::ROUND_PROBES,
+            cpu_share: deployment.resources.cpu,
         },
         settings,
         clock,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -48,6 +48,23 @@
     pub workers: Workers,
     pub state: StateLimits,
     pub cloud: CloudLimits,
+    #[serde(default)]
+    pub resources: Machine,
+}
+
+/// What this process may use of its machine.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(default)]
+pub struct Machine {
+    /// Share of one processor core.
+    pub cpu: f64,
+    pub max_sockets: usize,
+}
+
+impl Default for Machine {
+    fn default() -> Self {
+        Machine { cpu: 1.0, max_sockets: 1024 }
+    }
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -113,7 +130,8 @@
         let d = &self.deployment;
         let positive = |v: f64| v.is_finite() && v > 0.0;
         let amount = |v: f64| v.is_finite() && v >= 0.0;
-        let rules: [(&'static str, bool, &'static str); 12] = [
+        let rules: [(&'static str, bool, &'static str); 13] = [
+            ("deployment.resources.cpu", positive(d.resources.cpu), "must be above 0"),
             ("node_name", !self.node_name.is_empty(), "must not be empty"),
             (
                 "members",
--- a/tests/core_rules.rs
+++ b/tests/core_rules.rs
@@ -22,6 +22,7 @@
         zones: vec!["a".into(), "b".into()],
         list_lag_s: 3.0,
         round_probes: limits::ROUND_PROBES,
+        cpu_share: 1.0,
     }
 }
 
--- a/tests/elastic_model.rs
+++ b/tests/elastic_model.rs
@@ -61,6 +61,7 @@
             zones: vec!["a".into()],
             list_lag_s: 3.0,
             round_probes: limits::ROUND_PROBES,
+            cpu_share: 1.0,
         };
         let mut bed = Bed {
             core: Core::new(config, SECOND),
