--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -335,9 +335,8 @@
             // The cloud's 200 is proof: the machine and everything on it are gone.
             self.clear_machine(&name);
             self.fleet.gone.insert(name.clone());
-            if self.machines.remove(&name).is_some_and(|m| m.recorded || m.recording) {
-                self.effects.push(Effect::Unrecord(name));
-            }
+            self.machines.remove(&name);
+            self.unrecord(&name);
         }
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,7 @@
 pub mod model;
 pub mod overview;
 pub mod place;
+pub mod records;
 pub mod reports;
 
 use crate::limits;
@@ -27,6 +28,10 @@
     pub round_probes: usize,
     /// The share of a processor core that this process has.
     pub cpu_share: f64,
+    /// Puts and deletes a second that the state service allows all nodes together.
+    pub write_rps: f64,
+    /// Machines that fit into one record.
+    pub record_machines: usize,
 }
 
 /// A job as the state service has it.
@@ -81,7 +86,7 @@
     /// What the state service held when this leader took over.
     Load {
         jobs: Vec<StoredJob>,
-        machines: Vec<StoredMachine>,
+        records: Vec<(String, Vec<StoredMachine>)>,
     },
     JobAdded(StoredJob),
     JobRemoved(Uid),
@@ -102,7 +107,7 @@
         outcome: Outcome,
     },
     Recorded {
-        machine: String,
+        key: String,
         outcome: Outcome,
     },
     Types(Vec<MachineType>),
@@ -149,9 +154,14 @@
         uid: Uid,
         entry: u64,
         tasks: u32,
+        /// Keys of finished tasks to remove with it.
+        chunks: Vec<u32>,
+    },
+    /// Machines that may hold tasks; none: the record is to be removed.
+    Record {
+        key: String,
+        machines: Vec<StoredMachine>,
     },
-    Record(StoredMachine),
-    Unrecord(String),
     Rent {
         request: u64,
         machine_type: String,
@@ -174,6 +184,8 @@
     pub types: BTreeMap<String, MachineType>,
     pub fleet: Fleet,
     ledger: overview::Ledger,
+    records: records::Records,
+    writes: records::WriteBudget,
     /// Where the last round of decisions stopped.
     cursor: Option<Uid>,
     /// The next round is due without news then, and allowed with news from then on.
@@ -197,8 +209,11 @@
 
 impl Core {
     pub fn new(config: Config, now: u64) -> Self {
+        let writes = records::WriteBudget::new(config.write_rps, now);
         Core {
             config,
+            records: records::Records::default(),
+            writes,
             now,
             started: now,
             loaded: false,
@@ -237,9 +252,9 @@
         if self.loaded && (self.news && self.now >= self.round_from || self.now >= self.round_due) {
             self.news = false;
             self.round();
-            self.commit_done();
         }
         if self.loaded {
+            self.write_due();
             self.fleet_round();
             self.direct_stops();
         }
@@ -255,7 +270,7 @@
 
     fn take(&mut self, command: Command) {
         match command {
-            Command::Load { jobs, machines } => self.load(jobs, machines),
+            Command::Load { jobs, records } => self.load(jobs, records),
             Command::JobAdded(stored) => self.add_job(stored, false),
             Command::JobRemoved(uid) => self.remove_job(uid),
             Command::Checkin { reply, report } => {
@@ -280,13 +295,7 @@
                     }
                 }
             },
-            Command::Recorded { machine, outcome } => {
-                if let Some(machine) = self.machines.get_mut(&machine) {
-                    machine.recording = false;
-                    machine.recorded |= outcome == Outcome::Done;
-                    machine.images_changed |= outcome != Outcome::Done;
-                }
-            }
+            Command::Recorded { key, outcome } => self.recorded(&key, outcome),
             Command::Types(types) => {
                 self.types = types.into_iter().map(|t| (t.name.clone(), t)).collect();
                 for machine in self.machines.values_mut() {
@@ -318,15 +327,13 @@
         }
     }
 
-    fn load(&mut self, jobs: Vec<StoredJob>, machines: Vec<StoredMachine>) {
-        info!(jobs = jobs.len(), machines = machines.len(), "loaded");
+    fn load(&mut self, jobs: Vec<StoredJob>, records: Vec<(String, Vec<StoredMachine>)>) {
+        info!(jobs = jobs.len(), records = records.len(), "loaded");
         for stored in jobs {
             self.add_job(stored, true);
         }
-        for stored in machines {
-            let machine = self.machine(&stored);
-            machine.recorded = true;
-            machine.images = stored.images;
+        for (key, machines) in records {
+            self.load_record(key, machines);
         }
         // Check-ins before this point were answered without being noted: leases count from here.
         self.started = self.now;
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -241,7 +241,6 @@
     pub settled: bool,
     /// Its record is in the state service, so that a later leader knows to wait for it.
     pub recorded: bool,
-    pub recording: bool,
     pub heard: u64,
     /// The last time an answer may have renewed its lease.
     pub answered: u64,
@@ -279,10 +278,8 @@
         self.phase == Phase::Up
             && self.settled
             && self.recorded
-            && !self.images_changed
             && self.recall_at.is_none()
             && self.foreign.is_empty()
-            && self.exited.is_empty()
             && self.tasks.values().all(|t| t.seen && t.stopping.is_none())
     }
 
@@ -330,6 +327,10 @@
     pub done: BTreeSet<u32>,
     /// Finished tasks not yet in the state service.
     pub uncommitted: BTreeSet<u32>,
+    /// Since when some of them wait to be written.
+    pub uncommitted_since: Option<u64>,
+    /// The keys of finished tasks that are in the state service.
+    pub stored: BTreeSet<u32>,
     pub committing: bool,
     /// Withdrawn or otherwise over: its tasks are stopped, nothing starts.
     pub over: bool,
@@ -348,6 +349,7 @@
 impl Job {
     pub fn new(spec: JobSpec, entry: u64, now: u64, inherited: bool, done: BTreeSet<u32>) -> Self {
         let waiting = (0..spec.tasks).filter(|t| !done.contains(t)).collect();
+        let stored = done.iter().map(|t| t / crate::limits::DONE_CHUNK).collect();
         Job {
             spec,
             arrived: now,
@@ -357,6 +359,8 @@
             places: BTreeMap::new(),
             done,
             uncommitted: BTreeSet::new(),
+            uncommitted_since: None,
+            stored,
             committing: false,
             over: false,
             rescaled: 0,
--- /dev/null
+++ b/src/core/records.rs
@@ -0,0 +1,255 @@
+//! What the next leader must find in the state service: which machines may hold tasks, and which tasks
+//! are finished. Writes are scarce, so machines share records, and what is to be written waits here until
+//! the leader's budget has room for it: ended jobs first, then machines that may get no task before they
+//! are recorded, then finished tasks, then the rest.
+
+use super::model::*;
+use super::{Core, Effect, Outcome, StoredMachine};
+use crate::limits;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How urgently a record is to be written again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Need {
+    Nothing,
+    /// Images only make placing after a takeover better.
+    Images,
+    /// A machine that is gone costs the next leader a deletion before inherited work starts.
+    Gone,
+    /// A machine in it gets no task before.
+    New,
+}
+
+#[derive(Debug)]
+struct Group {
+    members: BTreeSet<String>,
+    need: Need,
+    since: u64,
+    /// The members of a write under way.
+    writing: Option<BTreeSet<String>>,
+}
+
+#[derive(Debug, Default)]
+pub struct Records {
+    groups: BTreeMap<String, Group>,
+    of: BTreeMap<String, String>,
+    made: u64,
+}
+
+/// The leader's share of the state service's puts and deletes.
+#[derive(Debug)]
+pub struct WriteBudget {
+    rate: f64,
+    most: f64,
+    left: f64,
+    at: u64,
+}
+
+impl WriteBudget {
+    pub fn new(write_rps: f64, now: u64) -> Self {
+        let rate = write_rps * limits::LEADER_WRITE_SHARE;
+        let most = rate.max(limits::WRITES_AT_ONCE);
+        WriteBudget { rate, most, left: most, at: now }
+    }
+
+    fn refill(&mut self, now: u64) {
+        let passed = now.saturating_sub(self.at) as f64 / limits::SECOND as f64;
+        self.left = (self.left + passed * self.rate).min(self.most);
+        self.at = now;
+    }
+
+    fn take(&mut self, writes: f64) -> bool {
+        let enough = self.left >= writes.min(self.most);
+        if enough {
+            self.left -= writes;
+        }
+        enough
+    }
+}
+
+impl Core {
+    /// The machine is to be recorded, or its images changed.
+    pub fn record(&mut self, name: &str) {
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        let need = if machine.recorded { Need::Images } else { Need::New };
+        machine.images_changed = false;
+        let most = self.config.record_machines;
+        let records = &mut self.records;
+        let key = records.of.get(name).cloned().unwrap_or_else(|| {
+            let open = records.groups.iter().rev().find(|(_, g)| g.members.len() < most);
+            open.map(|(key, _)| key.clone()).unwrap_or_else(|| {
+                records.made += 1;
+                format!("{}-{}", self.config.token, records.made)
+            })
+        });
+        records.of.insert(name.to_string(), key.clone());
+        let now = self.now;
+        let group = records.groups.entry(key).or_insert_with(|| Group {
+            members: BTreeSet::new(),
+            need: Need::Nothing,
+            since: now,
+            writing: None,
+        });
+        let joins = group.members.insert(name.to_string());
+        // One that waits to be written, or is being written, need not ask again.
+        if joins || need == Need::Images {
+            group.ask(need, now);
+        }
+    }
+
+    /// A record as the last leader left it.
+    pub fn load_record(&mut self, key: String, machines: Vec<StoredMachine>) {
+        let members: BTreeSet<String> = machines.iter().map(|m| m.name.clone()).collect();
+        for stored in machines {
+            self.records.of.insert(stored.name.clone(), key.clone());
+            let machine = self.machine(&stored);
+            machine.recorded = true;
+            machine.images = stored.images;
+        }
+        let group = Group { members, need: Need::Nothing, since: self.now, writing: None };
+        self.records.groups.insert(key, group);
+    }
+
+    /// The machine is gone.
+    pub fn unrecord(&mut self, name: &str) {
+        let Some(key) = self.records.of.remove(name) else { return };
+        if let Some(group) = self.records.groups.get_mut(&key) {
+            group.members.remove(name);
+            group.ask(Need::Gone, self.now);
+        }
+    }
+
+    pub fn recorded(&mut self, key: &str, outcome: Outcome) {
+        let Some(group) = self.records.groups.get_mut(key) else { return };
+        let Some(written) = group.writing.take() else { return };
+        if outcome != Outcome::Done {
+            group.ask(Need::New, self.now);
+            return;
+        }
+        if group.members.is_empty() && group.need == Need::Nothing {
+            self.records.groups.remove(key);
+        }
+        for name in written {
+            if let Some(machine) = self.machines.get_mut(&name) {
+                machine.recorded = true;
+            }
+        }
+    }
+
+    /// Writes what is due, the most urgent first, as far as the budget goes.
+    pub fn write_due(&mut self) {
+        self.writes.refill(self.now);
+        if !self.finish_jobs() || !self.write_records(Need::New, 0) || !self.commit_done() {
+            return;
+        }
+        if self.write_records(Need::Gone, limits::RECORD_GONE_WAIT) {
+            self.write_records(Need::Images, limits::RECORD_IMAGES_WAIT);
+        }
+    }
+
+    /// Returns whether all that needed it was written, and so whether less urgent things may follow.
+    fn write_records(&mut self, need: Need, wait: u64) -> bool {
+        let now = self.now;
+        let due = |g: &Group| g.need >= need && g.writing.is_none() && now >= g.since + wait;
+        let due: Vec<String> =
+            self.records.groups.iter().filter(|(_, g)| due(g)).map(|(key, _)| key.clone()).collect();
+        for key in due {
+            if !self.writes.take(1.0) {
+                return false;
+            }
+            let Some(group) = self.records.groups.get_mut(&key) else { continue };
+            group.need = Need::Nothing;
+            group.writing = Some(group.members.clone());
+            let machines = group.members.iter().filter_map(|name| self.machines.get(name));
+            let machines = machines.map(stored_machine).collect();
+            self.effects.push(Effect::Record { key, machines });
+        }
+        true
+    }
+
+    /// Jobs whose last task is finished go over in one transaction each.
+    fn finish_jobs(&mut self) -> bool {
+        let ready = self.jobs.values().filter(|j| j.ready_to_finish()).map(|j| j.spec.uid);
+        for uid in ready.collect::<Vec<_>>() {
+            let Some(job) = self.jobs.get_mut(&uid) else { continue };
+            let chunks = job.chunks();
+            if !self.writes.take(2.0 + chunks.len() as f64) {
+                return false;
+            }
+            job.committing = true;
+            let (entry, tasks) = (job.entry, job.spec.tasks);
+            self.effects.push(Effect::Finish { uid, entry, tasks, chunks });
+        }
+        true
+    }
+
+    /// Finished tasks of jobs that go on, some time after the first of them: a result is kept on its
+    /// worker until then, and the tasks that end meanwhile are written with it.
+    fn commit_done(&mut self) -> bool {
+        let now = self.now;
+        let ready = |j: &&Job| {
+            let waits = j.uncommitted_since.is_some_and(|since| now >= since + limits::COMMIT_WAIT);
+            waits && !j.committing && !j.over && !j.uncommitted.is_empty() && j.unfinished() > 0
+        };
+        let mut ready: Vec<_> =
+            self.jobs.values().filter(ready).map(|j| (j.uncommitted_since, j.spec.uid)).collect();
+        ready.sort_unstable();
+        for (_, uid) in ready {
+            let Some(job) = self.jobs.get_mut(&uid) else { continue };
+            if !self.writes.take(1.0) {
+                return false;
+            }
+            job.committing = true;
+            let (entry, tasks, all_done) = (job.entry, job.uncommitted.clone(), job.done.clone());
+            self.effects.push(Effect::CommitDone { uid, entry, tasks, all_done });
+        }
+        true
+    }
+
+    pub fn committed(&mut self, uid: Uid, tasks: BTreeSet<u32>, outcome: Outcome) {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(&uid) else { return };
+        job.committing = false;
+        if outcome == Outcome::Done {
+            job.stored.extend(tasks.iter().map(|t| t / limits::DONE_CHUNK));
+            job.uncommitted.retain(|t| !tasks.contains(t));
+            job.uncommitted_since = (!job.uncommitted.is_empty()).then_some(now);
+        }
+    }
+}
+
+impl Group {
+    fn ask(&mut self, need: Need, now: u64) {
+        if self.need == Need::Nothing {
+            self.since = now;
+        }
+        self.need = self.need.max(need);
+    }
+}
+
+fn stored_machine(machine: &Machine) -> StoredMachine {
+    let mut room = limits::RECORD_IMAGES;
+    let images = machine.images.iter().take_while(|image| {
+        room = room.saturating_sub(image.len() + 3);
+        room > 0
+    });
+    StoredMachine {
+        name: machine.name.clone(),
+        machine_type: machine.machine_type.clone(),
+        zone: machine.zone.clone(),
+        spot: machine.spot,
+        address: machine.address.clone(),
+        images: images.cloned().collect(),
+    }
+}
+
+impl Job {
+    fn ready_to_finish(&self) -> bool {
+        self.spec.kind != Kind::Service && self.unfinished() == 0 && !self.committing && !self.over
+    }
+
+    /// The keys of finished tasks that may have been written.
+    fn chunks(&self) -> Vec<u32> {
+        self.stored.iter().copied().collect()
+    }
+}
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -1,7 +1,7 @@
 //! What workers report, and what they are told.
 
 use super::model::*;
-use super::{Core, Effect, Order, Outcome, StoredMachine, Taken};
+use super::{Core, Effect, Order, StoredMachine, Taken};
 use crate::limits;
 use std::collections::{BTreeMap, BTreeSet};
 use tracing::{debug, info, warn};
@@ -25,7 +25,6 @@
             seq: 0,
             settled: false,
             recorded: false,
-            recording: false,
             heard: 0,
             answered: 0,
             tasks: BTreeMap::new(),
@@ -244,6 +243,7 @@
                     if job.spec.kind != Kind::Service && job.done.insert(id.task) {
                         job.waiting.remove(&id.task);
                         job.uncommitted.insert(id.task);
+                        job.uncommitted_since.get_or_insert(now);
                         job.errors = 0;
                     }
                 }
@@ -342,24 +342,6 @@
         }
     }
 
-    fn record(&mut self, name: &str) {
-        let Some(machine) = self.machines.get_mut(name) else { return };
-        if machine.recording {
-            return;
-        }
-        machine.recording = true;
-        machine.images_changed = false;
-        let stored = StoredMachine {
-            name: machine.name.clone(),
-            machine_type: machine.machine_type.clone(),
-            zone: machine.zone.clone(),
-            spot: machine.spot,
-            address: machine.address.clone(),
-            images: machine.images.clone(),
-        };
-        self.effects.push(Effect::Record(stored));
-    }
-
     fn stop_orders(machine: &Machine) -> impl Iterator<Item = Order> + '_ {
         let own = machine.tasks.iter().filter_map(|(id, t)| {
             t.stopping.map(|(_, grace_s)| Order::Stop { id: *id, attempt: t.attempt, grace_s })
@@ -419,42 +401,4 @@
             }
         }
     }
-
-    /// Finished tasks go to the state service, job by job; a job's last ones end it.
-    pub fn commit_done(&mut self) {
-        let ready: Vec<Uid> = self
-            .jobs
-            .values()
-            .filter(|j| !j.committing && !j.over && !j.uncommitted.is_empty() || j.ready_to_finish())
-            .map(|j| j.spec.uid)
-            .collect();
-        for uid in ready {
-            let Some(job) = self.jobs.get_mut(&uid) else { continue };
-            job.committing = true;
-            if job.unfinished() == 0 {
-                self.effects.push(Effect::Finish { uid, entry: job.entry, tasks: job.spec.tasks });
-            } else {
-                self.effects.push(Effect::CommitDone {
-                    uid,
-                    entry: job.entry,
-                    tasks: job.uncommitted.clone(),
-                    all_done: job.done.clone(),
-                });
-            }
-        }
-    }
-
-    pub fn committed(&mut self, uid: Uid, tasks: BTreeSet<u32>, outcome: Outcome) {
-        let Some(job) = self.jobs.get_mut(&uid) else { return };
-        job.committing = false;
-        if outcome == Outcome::Done {
-            job.uncommitted.retain(|t| !tasks.contains(t));
-        }
-    }
-}
-
-impl Job {
-    fn ready_to_finish(&self) -> bool {
-        self.spec.kind != Kind::Service && self.unfinished() == 0 && !self.committing && !self.over
-    }
 }
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -119,6 +119,27 @@
 pub const SLOW_VOTES: u32 = 2;
 pub const SLOW_PAUSE: u64 = 60_000_000;
 
+// ---- what is written ----
+
+/// Share of the state service's puts and deletes that the leader spends on its own records; the rest is
+/// for users' submissions and withdrawals through any node.
+pub const LEADER_WRITE_SHARE: f64 = 0.5;
+/// The leader's least burst: an ended job takes three writes at once.
+pub const WRITES_AT_ONCE: f64 = 4.0;
+/// Finished tasks of a job wait this long for others of it before they are written.
+pub const COMMIT_WAIT: u64 = 4_000_000;
+/// A machine that is gone stays in its record this long, and new images out of it, so that others join.
+pub const RECORD_GONE_WAIT: u64 = 4_000_000;
+pub const RECORD_IMAGES_WAIT: u64 = 20_000_000;
+/// Bytes of image names that a record keeps for each machine, and bytes of everything else.
+pub const RECORD_IMAGES: usize = 120;
+pub const RECORD_MACHINE: usize = 180;
+
+/// Machines in one record, so that it fits a value of the state service.
+pub fn record_machines(value_kb: f64) -> usize {
+    ((value_kb * 1024.0 * 0.9) as usize / (RECORD_IMAGES + RECORD_MACHINE)).max(1)
+}
+
 // ---- fleet ----
 
 /// A new leader moves no replicas until it has seen this much calm.
--- a/src/server.rs
+++ b/src/server.rs
@@ -140,6 +140,8 @@
             list_lag_s: deployment.cloud.list_lag_s,
             round_probes: limits::ROUND_PROBES,
             cpu_share: deployment.resources.cpu,
+            write_rps: deployment.state.write_rps,
+            record_machines: limits::record_machines(deployment.state.value_kb),
         },
         settings,
         clock,
@@ -529,13 +531,11 @@
                     Command::Committed { uid, tasks, outcome }
                 });
             }
-            Effect::Finish { uid, entry, tasks } => self.ask(async move {
+            Effect::Finish { uid, entry, tasks, chunks } => self.ask(async move {
                 let over = Over { status: "done".into(), tasks };
                 let mut changes: Vec<_> = store::write(&store::over(uid), over).into_iter().collect();
                 changes.push(store::remove(&store::live(uid)));
-                if tasks > 1 {
-                    changes.push(store::remove(&store::done(uid, 0)));
-                }
+                changes.extend(chunks.iter().map(|chunk| store::remove(&store::done(uid, *chunk))));
                 let when = vec![leads, store::compare(&store::live(uid), entry)];
                 let outcome = settle(store.commit(when, changes).await).await;
                 if outcome == Outcome::Done {
@@ -543,26 +543,17 @@
                 }
                 Command::Finished { uid, outcome }
             }),
-            Effect::Record(machine) => self.ask(async move {
-                let record = FleetRecord {
-                    hull: machine.machine_type,
-                    quay: machine.zone,
-                    driftwood: machine.spot,
-                    address: machine.address,
-                    images: machine.images.into_iter().collect(),
+            Effect::Record { key, machines } => self.ask(async move {
+                let path = format!("{}{key}", store::FLEET);
+                let records: Vec<FleetRecord> = machines.into_iter().map(FleetRecord::from).collect();
+                let change = if records.is_empty() {
+                    vec![store::remove(&path)]
+                } else {
+                    store::write(&path, records).into_iter().collect()
                 };
-                let key = format!("{}{}", store::FLEET, machine.name);
-                let changes = store::write(&key, record).into_iter().collect();
-                let outcome = settle(store.commit(vec![leads], changes).await).await;
-                Command::Recorded { machine: machine.name, outcome }
+                let outcome = settle(store.commit(vec![leads], change).await).await;
+                Command::Recorded { key, outcome }
             }),
-            Effect::Unrecord(machine) => {
-                tokio::spawn(async move {
-                    let key = format!("{}{machine}", store::FLEET);
-                    // What is left behind costs the next leader one wait of a worker lease.
-                    let _ = store.commit(vec![leads], vec![store::remove(&key)]).await;
-                });
-            }
             Effect::Rent { request, machine_type, zone, spot, count } => {
                 self.cloud_request(CloudRequest::Rent { request, machine_type, zone, spot, count })
             }
@@ -666,9 +657,15 @@
 }
 
 /// Everything a new leader reads: jobs, finished tasks, machines; and where to follow from.
-async fn load(
-    store: &Store,
-) -> Result<(Vec<StoredJob>, Vec<StoredMachine>, Vec<String>, u64), store::StoreError> {
+struct Loaded {
+    jobs: Vec<StoredJob>,
+    records: Vec<(String, Vec<StoredMachine>)>,
+    /// Keys of finished tasks whose job is over.
+    orphans: Vec<String>,
+    revision: u64,
+}
+
+async fn load(store: &Store) -> Result<Loaded, store::StoreError> {
     let (live, revision) = store.list(store::LIVE).await?;
     let (done, _) = store.list(store::DONE).await?;
     let (fleet, _) = store.list(store::FLEET).await?;
@@ -690,22 +687,20 @@
             decode_bits(bits).map(|t| t + chunk.saturating_mul(limits::DONE_CHUNK)).filter(|t| *t < tasks),
         );
     }
-    let machines = fleet
+    let records = fleet
         .into_iter()
         .filter_map(|record| {
-            let name = record.path.strip_prefix(store::FLEET)?.to_string();
-            let fleet: FleetRecord = serde_json::from_value(record.value).ok()?;
-            Some(StoredMachine {
-                name,
-                machine_type: fleet.hull,
-                zone: fleet.quay,
-                spot: fleet.driftwood,
-                address: fleet.address,
-                images: fleet.images.into_iter().collect(),
-            })
+            let key = record.path.strip_prefix(store::FLEET)?.to_string();
+            match serde_json::from_value::<Vec<FleetRecord>>(record.value) {
+                Ok(machines) => Some((key, machines.into_iter().map(StoredMachine::from).collect())),
+                Err(error) => {
+                    warn!(key = record.path, %error, "unreadable machine record: skipped");
+                    None
+                }
+            }
         })
         .collect();
-    Ok((jobs.into_values().collect(), machines, orphans, revision))
+    Ok(Loaded { jobs: jobs.into_values().collect(), records, orphans, revision })
 }
 
 async fn pause() {
@@ -719,9 +714,9 @@
     let mut known: BTreeSet<Uid> = BTreeSet::new();
     let mut from = loop {
         match load(&store).await {
-            Ok((jobs, machines, orphans, revision)) => {
+            Ok(Loaded { jobs, records, orphans, revision }) => {
                 known.extend(jobs.iter().map(|j| j.spec.uid));
-                let _ = send(Command::Load { jobs, machines }).await;
+                let _ = send(Command::Load { jobs, records }).await;
                 tokio::spawn(sweep(store.clone(), orphans, entry));
                 break revision;
             }
--- a/src/store.rs
+++ b/src/store.rs
@@ -261,7 +261,7 @@
 pub const CATALOG: &str = "fleet/catalog";
 pub const LIVE: &str = "live/";
 pub const DONE: &str = "done/";
-pub const FLEET: &str = "fleet/machine/";
+pub const FLEET: &str = "fleet/machines/";
 
 pub fn live(uid: impl std::fmt::Display) -> String {
     format!("{LIVE}{uid}")
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,6 +1,7 @@
 //! The protocols' JSON, with their odd words, mapped at this edge to the domain's names.
 
 use crate::core::model::{Cause, JobSpec, Kind, Priority, Resources, TaskId, TaskStatus, Uid};
+use crate::core::StoredMachine;
 use crate::limits;
 use serde::{Deserialize, Serialize};
 
@@ -352,9 +353,10 @@
     pub tasks: u32,
 }
 
-/// `fleet/machine/<name>`: a machine that may have been given tasks.
+/// `fleet/machines/<key>`: a list of machines that may have been given tasks.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct FleetRecord {
+    pub vessel: String,
     pub hull: String,
     pub quay: String,
     pub driftwood: bool,
@@ -363,3 +365,29 @@
     #[serde(default)]
     pub images: Vec<String>,
 }
+
+impl From<StoredMachine> for FleetRecord {
+    fn from(machine: StoredMachine) -> Self {
+        FleetRecord {
+            vessel: machine.name,
+            hull: machine.machine_type,
+            quay: machine.zone,
+            driftwood: machine.spot,
+            address: machine.address,
+            images: machine.images.into_iter().collect(),
+        }
+    }
+}
+
+impl From<FleetRecord> for StoredMachine {
+    fn from(record: FleetRecord) -> Self {
+        StoredMachine {
+            name: record.vessel,
+            machine_type: record.hull,
+            zone: record.quay,
+            spot: record.driftwood,
+            address: record.address,
+            images: record.images.into_iter().collect(),
+        }
+    }
+}
--- a/tests/core_rules.rs
+++ b/tests/core_rules.rs
@@ -23,6 +23,8 @@
         list_lag_s: 3.0,
         round_probes: limits::ROUND_PROBES,
         cpu_share: 1.0,
+        write_rps: 1000.0,
+        record_machines: 3,
     }
 }
 
@@ -96,7 +98,7 @@
     withdrawn: BTreeMap<Uid, u64>,
     over: BTreeSet<Uid>,
     completed: BTreeMap<Uid, BTreeSet<u32>>,
-    recorded: BTreeMap<String, StoredMachine>,
+    recorded: BTreeMap<String, Vec<StoredMachine>>,
     later: Vec<(u64, Command)>,
     held: Vec<(u64, Report)>,
     replies: BTreeMap<u64, String>,
@@ -121,7 +123,7 @@
             over: BTreeSet::new(),
             completed: BTreeMap::new(),
             recorded: BTreeMap::new(),
-            later: vec![(0, Command::Types(types())), (0, Command::Load { jobs: vec![], machines: vec![] })],
+            later: vec![(0, Command::Types(types())), (0, Command::Load { jobs: vec![], records: vec![] })],
             held: Vec::new(),
             replies: BTreeMap::new(),
             entry: 0,
@@ -164,9 +166,9 @@
                 done: done.clone(),
             })
             .collect();
-        let machines = self.recorded.values().cloned().collect();
+        let records = self.recorded.clone().into_iter().collect();
         self.later.push((self.now, Command::Types(types())));
-        self.later.push((self.now, Command::Load { jobs, machines }));
+        self.later.push((self.now, Command::Load { jobs, records }));
     }
 
     fn step(&mut self) {
@@ -294,13 +296,12 @@
                 }
                 self.later.push((soon, Command::Finished { uid, outcome }));
             }
-            Effect::Record(machine) => {
-                let name = machine.name.clone();
-                self.recorded.insert(name.clone(), machine);
-                self.later.push((soon, Command::Recorded { machine: name, outcome: Outcome::Done }));
-            }
-            Effect::Unrecord(name) => {
-                self.recorded.remove(&name);
+            Effect::Record { key, machines } => {
+                self.recorded.remove(&key);
+                if !machines.is_empty() {
+                    self.recorded.insert(key.clone(), machines);
+                }
+                self.later.push((soon, Command::Recorded { key, outcome: Outcome::Done }));
             }
             Effect::Rent { request, zone, spot, count, .. } => {
                 let left = 14usize.saturating_sub(self.workers.values().filter(|w| !w.dead).count());
--- a/tests/elastic_model.rs
+++ b/tests/elastic_model.rs
@@ -62,6 +62,8 @@
             list_lag_s: 3.0,
             round_probes: limits::ROUND_PROBES,
             cpu_share: 1.0,
+            write_rps: 1000.0,
+            record_machines: 3,
         };
         let mut bed = Bed {
             core: Core::new(config, SECOND),
@@ -71,7 +73,7 @@
             running: BTreeMap::new(),
             ended: BTreeSet::new(),
         };
-        bed.step(vec![Command::Types(types()), Command::Load { jobs: vec![], machines: vec![] }]);
+        bed.step(vec![Command::Types(types()), Command::Load { jobs: vec![], records: vec![] }]);
         bed.report();
         bed.report();
         bed
@@ -83,8 +85,8 @@
         let recorded: Vec<Command> = effects
             .iter()
             .filter_map(|e| match e {
-                Effect::Record(m) => {
-                    Some(Command::Recorded { machine: m.name.clone(), outcome: Outcome::Done })
+                Effect::Record { key, .. } => {
+                    Some(Command::Recorded { key: key.clone(), outcome: Outcome::Done })
                 }
                 Effect::CommitDone { uid, tasks, .. } => {
                     let (uid, tasks) = (*uid, tasks.clone());
@@ -293,7 +295,7 @@
     // The next leader: four machines are on record, three of them report.
     bed.core = Core::new(bed.core.config.clone(), bed.now);
     let job = StoredJob { spec: spec(1, Kind::Array, Priority::Low, 2), entry: 1, done: BTreeSet::new() };
-    let load = Command::Load { jobs: vec![job], machines: (0..4).map(known).collect() };
+    let load = Command::Load { jobs: vec![job], records: vec![("1-1".into(), (0..4).map(known).collect())] };
     bed.step(vec![Command::Types(types()), load]);
     let begun = bed.now;
     let mut deleted = None;
