--- a/src/api.rs
+++ b/src/api.rs
@@ -4,6 +4,7 @@
 use crate::core::model::{JobSpec, Kind, MachineType, Resources, Uid};
 use crate::core::Core;
 use crate::limits;
+use crate::live::Live;
 use crate::server::{CheckinReply, Event};
 use crate::settings::Team;
 use crate::store::{self, Committed, Store, StoreError};
@@ -30,6 +31,7 @@
 
 pub struct Api {
     pub store: Store,
+    live: Live,
     pub teams: Vec<Team>,
     pub types: watch::Receiver<Types>,
     pub summary: watch::Receiver<Summary>,
@@ -98,14 +100,19 @@
         healthy: Arc<AtomicBool>,
     ) -> Self {
         let users = Semaphore::new(limits::USERS_AT_ONCE);
-        Api { store, teams, types, summary, events, healthy, users, over: Mutex::default() }
+        let live = Live::start(store.clone());
+        Api { store, live, teams, types, summary, events, healthy, users, over: Mutex::default() }
     }
 
-    /// A user's turn, and a request to the state service; neither is waited for.
+    /// A user's turn, which is not waited for.
     fn admit(&self) -> Result<tokio::sync::SemaphorePermit<'_>, Refusal> {
-        let busy = || Refusal::Later("too many requests at once".into());
-        let permit = self.users.try_acquire().map_err(|_| busy())?;
-        self.store.user_may_ask().then_some(permit).ok_or_else(busy)
+        self.users.try_acquire().map_err(|_| Refusal::Later("too many requests at once".into()))
+    }
+
+    /// A request to the state service for one user alone, within the node's share of its limit.
+    fn may_ask(&self) -> Result<(), Refusal> {
+        let busy = || Refusal::Later("too many requests to the state service".into());
+        self.store.user_may_ask().then_some(()).ok_or_else(busy)
     }
 
     fn remember(&self, uid: Uid, state: &JobState) {
@@ -138,12 +145,14 @@
 
     /// The job's state as the state service has it. `live` before `over`: a job moves between them in
     /// one transaction, so that this order never misses it.
-    async fn state(&self, uid: Uid) -> Result<Option<JobState>, StoreError> {
+    async fn state(&self, uid: Uid) -> Result<Option<JobState>, Refusal> {
         if let Some(state) = self.remembered(uid) {
             return Ok(Some(state));
         }
-        if self.store.get(&store::live(uid), limits::POLL_TIMEOUT).await?.is_none() {
-            return self.read_over(uid).await;
+        let live = self.live.contains(uid).await.ok_or_else(|| Refusal::Later("too many polls".into()))?;
+        if !live.map_err(|e| Refusal::Later(format!("state service: {e}")))? {
+            self.may_ask()?;
+            return Ok(self.read_over(uid).await?);
         }
         let (done, running) = self.summary.borrow().get(&uid).copied().unwrap_or((0, 0));
         let status = if running > 0 { "running" } else { "pending" };
@@ -190,6 +199,7 @@
         if let Some(why) = never {
             return Err(Refusal::Never(why));
         }
+        self.may_ask()?;
         let (live, over) = (store::live(job.uid), store::over(job.uid));
         let record = store::write(&live, &submission).map_err(|e| Refusal::Malformed(e.to_string()))?;
         let absent = vec![store::compare(&live, 0), store::compare(&over, 0)];
@@ -225,6 +235,7 @@
             return Ok(json(StatusCode::OK, &state));
         }
         let _turn = self.admit()?;
+        self.may_ask()?;
         let (live, over) = (store::live(uid), store::over(uid));
         let Some((value, entry)) = self.store.get(&live, limits::POLL_TIMEOUT).await? else {
             let state = self.read_over(uid).await?.ok_or(Refusal::NoSuchJob)?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod http;
 pub mod leadership;
 pub mod limits;
+pub mod live;
 pub mod peer;
 pub mod server;
 pub mod settings;
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -202,6 +202,8 @@
 pub const STATE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Polls give an answer 2 s; half of that is left to reach us and to answer.
 pub const POLL_TIMEOUT: Duration = Duration::from_millis(900);
+/// After a request that answers polls, the next polls gather this long: ten requests a second at most.
+pub const POLL_GATHER: Duration = Duration::from_millis(100);
 /// A watch: how long it waits, and how much longer we wait for it.
 pub const WATCH_MS: u64 = 4_000;
 pub const WATCH_SLACK: Duration = Duration::from_millis(1_500);
--- a/src/server.rs
+++ b/src/server.rs
@@ -727,7 +727,7 @@
         }
     };
     loop {
-        let follow = match store.follow(store::LIVE, from).await {
+        let follow = match store.follow(store::LIVE, from, limits::WATCH_MS).await {
             Ok(Some(follow)) => follow,
             Ok(None) => {
                 // Too far behind: read the keys again.
--- a/src/store.rs
+++ b/src/store.rs
@@ -205,10 +205,14 @@
         let _ = self.call(Method::DELETE, &path, None, limits::STATE_TIMEOUT).await;
     }
 
-    /// Changes under a prefix; None when `from` is too old and the keys must be read again.
-    pub async fn follow(&self, prefix: &str, from: u64) -> Result<Option<Follow>, StoreError> {
-        let path = format!("/follow?prefix={prefix}&from={from}&wait_ms={}", limits::WATCH_MS);
-        let timeout = Duration::from_millis(limits::WATCH_MS) + limits::WATCH_SLACK;
+    /// Changes under a prefix, waiting for the first of them; None when `from` is too old and the keys
+    /// must be read again.
+    pub async fn follow(&self, prefix: &str, from: u64, wait_ms: u64) -> Result<Option<Follow>, StoreError> {
+        let path = format!("/follow?prefix={prefix}&from={from}&wait_ms={wait_ms}");
+        let timeout = match wait_ms {
+            0 => limits::POLL_TIMEOUT,
+            _ => Duration::from_millis(wait_ms) + limits::WATCH_SLACK,
+        };
         let answer = self.call(Method::GET, &path, None, timeout).await?;
         match answer.status {
             200 => json(&answer).map(Some),
