--- a/src/api.rs
+++ b/src/api.rs
@@ -3,12 +3,13 @@
 
 use crate::core::model::{JobSpec, Kind, MachineType, Resources, Uid};
 use crate::core::Core;
+use crate::http::wall_ms;
 use crate::limits;
 use crate::live::Live;
 use crate::server::{CheckinReply, Event};
 use crate::settings::Team;
 use crate::store::{self, Committed, Store, StoreError};
-use crate::wire::{self, Checkin, JobState, Over, Submission};
+use crate::wire::{self, Checkin, JobState, LiveRecord, Over, Submission};
 use poem::http::{header, StatusCode};
 use poem::web::{Data, Path};
 use poem::{get, handler, post, Body, EndpointExt, IntoEndpoint, Response, Route};
@@ -201,13 +202,18 @@
         }
         self.may_ask()?;
         let (live, over) = (store::live(job.uid), store::over(job.uid));
-        let record = store::write(&live, &submission).map_err(|e| Refusal::Malformed(e.to_string()))?;
+        let record = LiveRecord { submission, accepted_ms: wall_ms() };
+        let record = store::write(&live, &record).map_err(|e| Refusal::Malformed(e.to_string()))?;
         let absent = vec![store::compare(&live, 0), store::compare(&over, 0)];
         match self.store.commit(absent, vec![record]).await {
             Committed::Done { .. } => {
                 info!(job = %job.uid, class = job.class, team = job.team, tasks = job.tasks, "accepted");
-                let state =
-                    JobState { uid: submission.uid, status: "pending".into(), done: None, running: None };
+                let state = JobState {
+                    uid: job.uid.to_string(),
+                    status: "pending".into(),
+                    done: None,
+                    running: None,
+                };
                 Ok(json(StatusCode::CREATED, &state))
             }
             Committed::Refused => Err(Refusal::Later("state service takes no changes now".into())),
--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -63,18 +63,23 @@
     /// Aged rank: the priority class plus the share of a class that its age has earned, in thousandths.
     /// Every job ages from its arrival: were only waiting ones to age, a newcomer would pass earlier jobs
     /// that still grow, and a job short of its width would yield after an earlier one that has all.
+    ///
+    /// A deadline makes a job age faster, by one class until it falls due; one that is late already leaves
+    /// the room to those that can still be in time. A job of which nothing has begun gains a class within
+    /// `BEGIN_WITHIN`, whatever its deadline.
     pub fn rank(&self, job: &Job) -> u64 {
-        let aging = limits::micros(self.config.operator.aging_s).max(1);
-        let age = self.now.saturating_sub(job.arrived);
         let class = job.spec.priority as u64 * 1000;
         if job.spec.priority == Priority::Critical {
             return class;
         }
-        // Age never lifts anybody above the critical services.
-        // A deadline makes a job age faster, by one class until it falls due. A job that is late already
-        // leaves the room to those that can still be in time.
+        let age = self.now.saturating_sub(job.arrived);
+        let plain = limits::micros(self.config.operator.aging_s).max(1);
         let due = job.spec.deadline_s.map(limits::micros).filter(|due| *due > 0 && age <= *due);
-        let aging = due.map_or(aging, |due| aging.min(due));
+        let mut aging = due.map_or(plain, |due| plain.min(due));
+        if job.places.is_empty() && job.done.is_empty() {
+            aging = aging.min(limits::BEGIN_WITHIN);
+        }
+        // Age never lifts anybody above the critical services.
         (class + age * 1000 / aging).min(Priority::Critical as u64 * 1000 - 1)
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -39,6 +39,8 @@
 pub struct StoredJob {
     pub spec: JobSpec,
     pub entry: u64,
+    /// Time since its submission, in microseconds.
+    pub age: u64,
     pub done: BTreeSet<u32>,
 }
 
@@ -346,7 +348,8 @@
             return;
         }
         debug!(job = %uid, tasks = stored.spec.tasks, inherited, "job known");
-        let job = Job::new(stored.spec, stored.entry, self.now, inherited, stored.done);
+        let arrived = self.now.saturating_sub(stored.age);
+        let job = Job::new(stored.spec, stored.entry, arrived, inherited, stored.done);
         self.jobs.insert(uid, job);
     }
 
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -315,7 +315,7 @@
 #[derive(Debug, Clone)]
 pub struct Job {
     pub spec: JobSpec,
-    /// When this leader learnt of it: ages and order of arrival count from here.
+    /// When it was submitted: ages and order of arrival count from here.
     pub arrived: u64,
     /// Version of its record.
     pub entry: u64,
@@ -347,12 +347,12 @@
 }
 
 impl Job {
-    pub fn new(spec: JobSpec, entry: u64, now: u64, inherited: bool, done: BTreeSet<u32>) -> Self {
+    pub fn new(spec: JobSpec, entry: u64, arrived: u64, inherited: bool, done: BTreeSet<u32>) -> Self {
         let waiting = (0..spec.tasks).filter(|t| !done.contains(t)).collect();
         let stored = done.iter().map(|t| t / crate::limits::DONE_CHUNK).collect();
         Job {
             spec,
-            arrived: now,
+            arrived,
             entry,
             inherited,
             waiting,
--- a/src/http.rs
+++ b/src/http.rs
@@ -75,3 +75,9 @@
         self.base + self.begun.elapsed().as_micros() as u64
     }
 }
+
+/// The time of day in milliseconds; it may wander by the settings' `skew_ms`, so that only ages of many
+/// seconds mean anything.
+pub fn wall_ms() -> u64 {
+    std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |t| t.as_millis() as u64)
+}
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -97,6 +97,9 @@
 
 /// How often leases are looked at: small against every lease and its margin.
 pub const EXPIRE_EVERY: u64 = 250_000;
+/// A job of which nothing has begun gains a class of priority in this time: the widest jobs of a class
+/// begin within four minutes (the users' rule), a boot and a fetch included.
+pub const BEGIN_WITHIN: u64 = 120_000_000;
 /// A round without news runs this often, for gaps and ages that have run out.
 pub const ROUND_IDLE: u64 = 500_000;
 /// Room of a stop that is not confirmed this long after its grace is not counted on any more.
@@ -180,6 +183,8 @@
 pub const BODY: usize = 64 * 1024;
 /// Tasks of a job (PROTOCOL).
 pub const TASKS_MOST: u32 = 100_000;
+/// The longest age of a job that is believed: a wrong clock must not make one outrank the rest for ever.
+pub const AGE_MOST_MS: u64 = 86_400_000;
 /// Length of names that users choose, so that a record fits `value_kb`.
 pub const NAME_MOST: usize = 128;
 /// Allowed machine types named by one job, for the same reason.
--- a/src/server.rs
+++ b/src/server.rs
@@ -4,13 +4,13 @@
 use crate::cloud::{self, Cloud};
 use crate::core::model::Uid;
 use crate::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob, StoredMachine};
-use crate::http::{Clock, Http};
+use crate::http::{wall_ms, Clock, Http};
 use crate::leadership::{Action, Leadership, Status, StoreAnswer};
 use crate::limits;
 use crate::peer::{self, Payload, Received, Sender};
 use crate::settings::{Operator, Settings};
 use crate::store::{self, Committed, Store};
-use crate::wire::{Checkin, CheckinAnswer, Epoch, FleetRecord, Orders, Over, Record, Rental, Submission};
+use crate::wire::{Checkin, CheckinAnswer, Epoch, FleetRecord, LiveRecord, Orders, Over, Record, Rental};
 use crate::worker;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -645,12 +645,16 @@
 // ---- what runs while this node leads ----
 
 fn stored_job(record: &Record) -> Option<StoredJob> {
-    let submission: Result<Submission, _> = serde_json::from_value(record.value.clone());
-    let spec = submission.map_err(|e| e.to_string()).and_then(|s| s.check());
-    match spec {
-        Ok(spec) => Some(StoredJob { spec, entry: record.entry, done: BTreeSet::new() }),
+    let live: Result<LiveRecord, _> = serde_json::from_value(record.value.clone());
+    let checked = live.map_err(|e| e.to_string()).and_then(|l| Ok((l.submission.check()?, l.accepted_ms)));
+    match checked {
+        Ok((spec, accepted_ms)) => {
+            let age_ms = if accepted_ms == 0 { 0 } else { wall_ms().saturating_sub(accepted_ms) };
+            let age = age_ms.min(limits::AGE_MOST_MS) * 1_000;
+            Some(StoredJob { spec, entry: record.entry, age, done: BTreeSet::new() })
+        }
         Err(error) => {
-            warn!(key = record.path, error, "unreadable job record");
+            warn!(key = record.path, error, "unreadable job record: skipped");
             None
         }
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -5,7 +5,7 @@
 use crate::limits;
 use serde::{Deserialize, Serialize};
 
-/// A submission as users send it. It is also what the state service keeps of a job.
+/// A submission as users send it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Submission {
     pub uid: String,
@@ -33,6 +33,16 @@
     pub tide_s: Option<f64>,
 }
 
+/// `live/<uid>`: a job as submitted, and when, so that its age outlives a change of leader.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct LiveRecord {
+    #[serde(flatten)]
+    pub submission: Submission,
+    /// Milliseconds of the time of day.
+    #[serde(default)]
+    pub accepted_ms: u64,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Rig {
--- a/tests/core_rules.rs
+++ b/tests/core_rules.rs
@@ -138,7 +138,7 @@
         self.entry += 1;
         self.live.insert(spec.uid, (self.entry, BTreeSet::new()));
         self.specs.insert(spec.uid, spec.clone());
-        let stored = StoredJob { spec, entry: self.entry, done: BTreeSet::new() };
+        let stored = StoredJob { spec, entry: self.entry, age: 0, done: BTreeSet::new() };
         self.later.push((self.now + STEP, Command::JobAdded(stored)));
     }
 
@@ -163,6 +163,7 @@
             .map(|(uid, (entry, done))| StoredJob {
                 spec: self.specs[uid].clone(),
                 entry: *entry,
+                age: 0,
                 done: done.clone(),
             })
             .collect();
--- a/tests/elastic_model.rs
+++ b/tests/elastic_model.rs
@@ -146,7 +146,7 @@
 
     fn submit(&mut self, spec: JobSpec) {
         let entry = spec.uid.0;
-        self.step(vec![Command::JobAdded(StoredJob { spec, entry, done: BTreeSet::new() })]);
+        self.step(vec![Command::JobAdded(StoredJob { spec, entry, age: 0, done: BTreeSet::new() })]);
         (0..3).for_each(|_| self.report());
     }
 
@@ -235,7 +235,7 @@
     bed.core.config.round_probes = 3;
     let batch = (1..7u64).map(|uid| {
         let spec = spec(uid, Kind::Array, Priority::Low, 1);
-        Command::JobAdded(StoredJob { spec, entry: uid, done: BTreeSet::new() })
+        Command::JobAdded(StoredJob { spec, entry: uid, age: 0, done: BTreeSet::new() })
     });
     bed.step(batch.collect());
     (0..4).for_each(|_| bed.report());
@@ -294,7 +294,8 @@
     };
     // The next leader: four machines are on record, three of them report.
     bed.core = Core::new(bed.core.config.clone(), bed.now);
-    let job = StoredJob { spec: spec(1, Kind::Array, Priority::Low, 2), entry: 1, done: BTreeSet::new() };
+    let job =
+        StoredJob { spec: spec(1, Kind::Array, Priority::Low, 2), entry: 1, age: 0, done: BTreeSet::new() };
     let load = Command::Load { jobs: vec![job], records: vec![("1-1".into(), (0..4).map(known).collect())] };
     bed.step(vec![Command::Types(types()), load]);
     let begun = bed.now;
@@ -320,8 +321,16 @@
     for (waits_s, first) in [(30, 3), (70, 2)] {
         let mut bed = Bed::new(1, 0.0);
         bed.submit(spec(1, Kind::Array, Priority::High, 1));
-        bed.submit(JobSpec { deadline_s: Some(900.0), ..spec(2, Kind::Array, Priority::Low, 1) });
-        bed.submit(JobSpec { deadline_s: Some(60.0), ..spec(3, Kind::Array, Priority::Low, 1) });
+        bed.submit(JobSpec {
+            deadline_s: Some(900.0),
+            estimate_s: 5.0,
+            ..spec(2, Kind::Array, Priority::Low, 1)
+        });
+        bed.submit(JobSpec {
+            deadline_s: Some(60.0),
+            estimate_s: 5.0,
+            ..spec(3, Kind::Array, Priority::Low, 1)
+        });
         let until = bed.now + waits_s * SECOND;
         while bed.now < until {
             bed.report();
