--- a/src/core/consolidate.rs
+++ b/src/core/consolidate.rs
@@ -6,7 +6,7 @@
 use super::place::{self, ZoneCount};
 use super::Core;
 use crate::limits;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use tracing::info;
 
 impl Core {
@@ -74,9 +74,9 @@
         beyond
     }
 
-    /// Stops one replica on a surplus machine, if a place with its image is free elsewhere. One at a
-    /// time, and only while all is calm: a move costs its users a few seconds.
-    pub fn move_replica(&mut self) {
+    /// Stops replicas on surplus machines, if places with their images are free elsewhere. Few at a time,
+    /// and only while all is calm: a move costs its users a few seconds.
+    pub fn move_replicas(&mut self) {
         let calm = self.settled
             && self.now >= self.started + limits::MOVE_CALM
             && self.now >= self.fleet.moved + limits::MOVE_PAUSE
@@ -84,22 +84,32 @@
         if !calm {
             return;
         }
-        let mut sources: Vec<&Machine> = self
-            .machines
-            .values()
-            .filter(|m| m.surplus && m.tasks.keys().any(|id| self.is_fixed(id)))
-            .collect();
+        let fixed = |m: &Machine| m.tasks.keys().filter(|id| self.is_fixed(id)).count();
+        let replicas: usize = self.machines.values().map(fixed).sum();
+        let most = (replicas / limits::MOVE_OF_REPLICAS).max(1);
+        let mut sources: Vec<&Machine> =
+            self.machines.values().filter(|m| m.surplus && fixed(m) > 0).collect();
         sources.sort_by_key(|m| (m.tasks.len(), m.name.clone()));
-        let found = sources.into_iter().find_map(|machine| {
-            let movable = machine.tasks.iter().find(|(id, task)| {
-                self.is_fixed(id)
-                    && task.stopping.is_none()
-                    && task.status == TaskStatus::Running
-                    && self.jobs.get(&id.uid).is_some_and(|job| self.has_warm_place(job, machine))
-            });
-            movable.map(|(id, _)| (machine.name.clone(), *id))
-        });
-        if let Some((machine, id)) = found {
+        let mut warm = self.warm_room();
+        let mut moves: Vec<(String, TaskId)> = Vec::new();
+        for machine in sources {
+            for (id, task) in &machine.tasks {
+                if moves.len() >= most {
+                    break;
+                }
+                let still = task.stopping.is_none() && task.status == TaskStatus::Running;
+                let Some(job) = self.jobs.get(&id.uid).filter(|_| still && self.is_fixed(id)) else {
+                    continue;
+                };
+                // One replica of a job at a time: the others carry on.
+                if moves.iter().all(|(_, other)| other.uid != id.uid)
+                    && self.take_warm_place(job, machine, &mut warm)
+                {
+                    moves.push((machine.name.clone(), *id));
+                }
+            }
+        }
+        for (machine, id) in moves {
             info!(task = %id, machine, "moving a replica off a surplus machine");
             self.decided(format!("move {id} off {machine}"));
             self.fleet.moved = self.now;
@@ -111,21 +121,29 @@
         }
     }
 
-    /// Whether a task of the job could go from this machine to another at once, without a fetch.
-    fn has_warm_place(&self, job: &Job, from: &Machine) -> bool {
+    /// Machines that stay and have room.
+    fn warm_room(&self) -> BTreeMap<String, Resources> {
+        let staying = self.machines.values().filter(|m| !m.surplus && !m.spot && self.usable(m));
+        let room = staying.map(|m| (m.name.clone(), m.free()));
+        room.filter(|(_, free)| free.cpus > 0).collect()
+    }
+
+    /// Whether a task of the job could go from this machine to another at once, without a fetch; the
+    /// place is then taken.
+    fn take_warm_place(&self, job: &Job, from: &Machine, warm: &mut BTreeMap<String, Resources>) -> bool {
         if job.spec.kind != Kind::Service || job.rescaled + limits::MOVE_JOB_PAUSE > self.now {
             return false;
         }
         let mut zones = ZoneCount::of(job, &self.machines);
         zones.remove(&from.zone);
-        self.machines.values().any(|m| {
-            m.name != from.name
-                && !m.surplus
-                && self.usable(m)
-                && place::allowed(job, m)
-                && zones.allows(job, &m.zone)
-                && m.images.contains(&job.spec.image)
-                && job.spec.needs.fits(&m.free())
-        })
+        let place = warm.iter_mut().find(|(name, free)| {
+            job.spec.needs.fits(free)
+                && self.machines.get(*name).is_some_and(|m| {
+                    place::allowed(job, m) && zones.allows(job, &m.zone) && m.images.contains(&job.spec.image)
+                })
+        });
+        let Some((_, free)) = place else { return false };
+        *free = free.minus(&job.spec.needs);
+        true
     }
 }
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -65,7 +65,7 @@
             // Before the machines of the last leader are known, every one of them would look missing.
             if self.settled && !self.types.is_empty() {
                 self.mark_surplus();
-                self.move_replica();
+                self.move_replicas();
                 self.begin_plan();
             }
         }
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -149,6 +149,9 @@
 pub const MOVE_CALM: u64 = 30_000_000;
 /// Between two moves of replicas, so that never many are down at once.
 pub const MOVE_PAUSE: u64 = 4_000_000;
+/// Of so many replicas one is moved at a time (one at least): with some four seconds down for each, moving
+/// costs half a percent of the replica time while it lasts.
+pub const MOVE_OF_REPLICAS: usize = 200;
 /// Between two moves of one job's replicas, and between its start and the first.
 pub const MOVE_JOB_PAUSE: u64 = 60_000_000;
 
