Deaf machines, copies made for earlier leaders, cut-off nodes, beginnings within four minutes

The added rules, each with a test: - a machine is deaf when reports running show no trace of what the answers before them said (token, start, stop, reap): no new tasks, deleted; many at once are our own fault and are kept; - a report that states an older token proves nothing: it neither settles a machine nor brings tasks or a deleted machine back, and does not count as the machine being heard; the plain model now plays deaf workers and copies from 1 s to four leases late; - a node that hears neither the state service nor a peer turns unhealthy and answers users at once; - a job of which nothing has begun passes everything but critical services within three minutes.

--- a/src/api.rs
+++ b/src/api.rs
@@ -38,6 +38,8 @@
     pub summary: watch::Receiver<Summary>,
     pub events: mpsc::Sender<Event>,
     pub healthy: Arc<AtomicBool>,
+    /// The state service does not answer this node, and others may fare better.
+    pub cut_off: Arc<AtomicBool>,
     pub users: Semaphore,
     over: Mutex<OverCache>,
 }
@@ -99,14 +101,19 @@
         summary: watch::Receiver<Summary>,
         events: mpsc::Sender<Event>,
         healthy: Arc<AtomicBool>,
+        cut_off: Arc<AtomicBool>,
     ) -> Self {
         let users = Semaphore::new(limits::USERS_AT_ONCE);
         let live = Live::start(store.clone());
-        Api { store, live, teams, types, summary, events, healthy, users, over: Mutex::default() }
+        Api { store, live, teams, types, summary, events, healthy, cut_off, users, over: Mutex::default() }
     }
 
-    /// A user's turn, which is not waited for.
+    /// A user's turn, which is not waited for. A node that is cut off from the state service sends its
+    /// users elsewhere at once instead of letting them wait for it.
     fn admit(&self) -> Result<tokio::sync::SemaphorePermit<'_>, Refusal> {
+        if self.cut_off.load(Ordering::Relaxed) {
+            return Err(Refusal::Later("this node is cut off from the state service".into()));
+        }
         self.users.try_acquire().map_err(|_| Refusal::Later("too many requests at once".into()))
     }
 
--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -65,22 +65,31 @@
     /// that still grow, and a job short of its width would yield after an earlier one that has all.
     ///
     /// A deadline makes a job age faster, by one class until it falls due; one that is late already leaves
-    /// the room to those that can still be in time. A job of which nothing has begun gains a class within
-    /// `BEGIN_WITHIN`, whatever its deadline.
+    /// the room to those that can still be in time. A job of which nothing has begun for long ages fastest.
     pub fn rank(&self, job: &Job) -> u64 {
+        let rank = self.plain_rank(job);
+        if job.begun() || job.spec.priority == Priority::Critical {
+            return rank;
+        }
+        rank.max(self.aged(job, job.arrived + limits::BEGIN_AFTER, limits::BEGIN_AGING))
+    }
+
+    fn plain_rank(&self, job: &Job) -> u64 {
         let class = job.spec.priority as u64 * 1000;
         if job.spec.priority == Priority::Critical {
             return class;
         }
         let age = self.now.saturating_sub(job.arrived);
-        let plain = limits::micros(self.config.operator.aging_s).max(1);
+        let aging = limits::micros(self.config.operator.aging_s).max(1);
         let due = job.spec.deadline_s.map(limits::micros).filter(|due| *due > 0 && age <= *due);
-        let mut aging = due.map_or(plain, |due| plain.min(due));
-        if job.places.is_empty() && job.done.is_empty() {
-            aging = aging.min(limits::BEGIN_WITHIN);
-        }
-        // Age never lifts anybody above the critical services.
-        (class + age * 1000 / aging).min(Priority::Critical as u64 * 1000 - 1)
+        self.aged(job, job.arrived, due.map_or(aging, |due| aging.min(due)))
+    }
+
+    /// The rank of a job that gains a class in `aging` from `since` on; age never lifts anybody above
+    /// critical services.
+    fn aged(&self, job: &Job, since: u64, aging: u64) -> u64 {
+        let age = self.now.saturating_sub(since);
+        (job.spec.priority as u64 * 1000 + age * 1000 / aging).min(Priority::Critical as u64 * 1000 - 1)
     }
 
     fn in_gap(&self, job: &Job) -> bool {
@@ -215,6 +224,9 @@
             return self.wait(uid, GAP);
         }
         let want = if limited { want.min(self.team_room(job)) } else { want };
+        // What only its wait for a beginning has earned is a beginning; more comes by its plain rank.
+        let hurried = !leftover && job.spec.kind == Kind::Array && self.rank(job) > self.plain_rank(job);
+        let want = if hurried { want.min(job.minimum()) } else { want };
         if want == 0 {
             return self.wait(uid, "team limit");
         }
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -286,16 +286,16 @@
         self.delete(back, "idle");
     }
 
-    /// Machines that are lost, failed to boot, or are silent while the others report.
+    /// Machines that are lost, failed to boot, or are silent or deaf while the others are not.
     fn delete_lost(&mut self) {
         let now = self.now;
         let silent = limits::silent(self.config.workers.report_s);
         // A machine of the last leader's that does not come to this one counts too: while it may hold
         // anything, no task of an inherited job starts.
-        let unsettled = |m: &&Machine| m.recorded && !m.settled && m.phase == Phase::Expected;
+        let unsettled = |m: &&Machine| m.inherited && !m.settled && m.phase == Phase::Expected;
         let up: Vec<&Machine> =
             self.machines.values().filter(|m| m.phase == Phase::Up || unsettled(m)).collect();
-        let quiet = |m: &&&Machine| now >= m.heard + silent;
+        let quiet = |m: &&&Machine| now >= m.heard + silent || m.unheard >= limits::UNHEARD_DEAF;
         let silent_now = up.iter().filter(quiet).count();
         let ours = silent_now > 2 && silent_now as f64 > limits::SILENT_SHARE * up.len() as f64;
         let mut back = Vec::new();
@@ -308,7 +308,7 @@
                 back.push(machine.name.clone());
             }
         }
-        self.delete(back, "lost, silent or never up");
+        self.delete(back, "lost, silent, deaf or never up");
     }
 
     fn delete(&mut self, names: Vec<String>, why: &str) {
@@ -398,7 +398,7 @@
         let vanished: Vec<String> = self
             .machines
             .values()
-            .filter(|m| m.recorded && !m.settled && m.phase == Phase::Expected && !m.deleting)
+            .filter(|m| m.inherited && !m.settled && m.phase == Phase::Expected && !m.deleting)
             .filter(|m| !shown.contains(&m.name))
             .map(|m| m.name.clone())
             .collect();
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -465,6 +465,7 @@
             && machine.recall_at.is_none()
             && machine.foreign.is_empty()
             && machine.no_room_until <= self.now
+            && machine.unheard < limits::UNHEARD_DEAF
             && self.now < machine.heard + limits::silent(self.config.workers.report_s)
     }
 
@@ -478,7 +479,7 @@
     }
 
     fn note_unsettled(&mut self) {
-        let open = self.machines.values().filter(|m| m.recorded && !m.settled);
+        let open = self.machines.values().filter(|m| m.inherited && !m.settled);
         self.unsettled = if self.settled {
             BTreeSet::new()
         } else {
@@ -500,7 +501,7 @@
             // A worker first heard of may have begun its lease as late as then: without its report in the
             // sum, every machine younger than this leader was given up the moment it came up.
             .filter(|m| m.phase != Phase::Lost && now >= m.answered.max(m.heard).max(alive) + lease)
-            .filter(|m| m.phase == Phase::Up || !m.tasks.is_empty() || (m.recorded && !m.settled))
+            .filter(|m| m.phase == Phase::Up || !m.tasks.is_empty() || (m.inherited && !m.settled))
             .map(|m| m.name.clone())
             .collect();
         for name in ended {
@@ -513,7 +514,7 @@
             self.news = true;
         }
         if !self.settled && self.loaded {
-            let open = |m: &&Machine| m.recorded && !m.settled;
+            let open = |m: &&Machine| m.inherited && !m.settled;
             self.settled = now >= alive + lease || self.machines.values().filter(open).count() == 0;
             if self.settled {
                 info!(after_ms = (now - self.started) / 1000, "all machines of earlier leaders settled");
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -241,6 +241,8 @@
     pub settled: bool,
     /// Its record is in the state service, so that a later leader knows to wait for it.
     pub recorded: bool,
+    /// An earlier leader recorded it, and may have started tasks on it.
+    pub inherited: bool,
     pub heard: u64,
     /// The last time an answer may have renewed its lease.
     pub answered: u64,
@@ -260,6 +262,11 @@
     /// An ordinary machine that fixed work and the reserve could do without.
     pub surplus: bool,
     pub deleting: bool,
+    /// What the last answer said that the next report must show some trace of, our token included.
+    pub told: Vec<super::Order>,
+    pub told_token: bool,
+    /// Reports running that show no trace of what the answer before them said.
+    pub unheard: u32,
     pub errors: BTreeSet<Uid>,
     pub no_room_until: u64,
     /// Tasks in a row that took far longer here than the rest of their job elsewhere.
@@ -279,6 +286,7 @@
             && self.settled
             && self.recorded
             && self.recall_at.is_none()
+            && self.told.is_empty()
             && self.foreign.is_empty()
             && self.tasks.values().all(|t| t.seen && t.stopping.is_none())
     }
@@ -372,6 +380,10 @@
         }
     }
 
+    pub fn begun(&self) -> bool {
+        !self.places.is_empty() || !self.done.is_empty()
+    }
+
     pub fn unfinished(&self) -> u32 {
         self.spec.tasks - self.done.len() as u32
     }
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -104,6 +104,7 @@
             self.records.of.insert(stored.name.clone(), key.clone());
             let machine = self.machine(&stored);
             machine.recorded = true;
+            machine.inherited = true;
             machine.images = stored.images;
         }
         let group = Group { members, need: Need::Nothing, since: self.now, writing: None };
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -25,6 +25,7 @@
             seq: 0,
             settled: false,
             recorded: false,
+            inherited: false,
             heard: 0,
             answered: 0,
             tasks: BTreeMap::new(),
@@ -37,6 +38,9 @@
             draining: false,
             surplus: false,
             deleting: false,
+            told: Vec::new(),
+            told_token: false,
+            unheard: 0,
             errors: BTreeSet::new(),
             no_room_until: 0,
             slow_votes: 0,
@@ -70,6 +74,7 @@
             if unchanged {
                 machine.seq = report.seq;
                 machine.heard = now;
+                machine.unheard = 0;
                 return Taken::Unchanged;
             }
         }
@@ -88,6 +93,9 @@
             debug!(machine = report.machine, "late report ignored");
             return Taken::Late;
         }
+        if checkin {
+            machine.judge_hearing(&report, token);
+        }
         if report.session > machine.session {
             if machine.session > 0 {
                 info!(
@@ -103,25 +111,26 @@
         machine.session = report.session;
         machine.seq = report.seq;
         machine.address = report.address;
-        if checkin {
-            machine.heard = now;
-            if machine.phase != Phase::Up {
-                info!(machine = report.machine, zone = machine.zone, spot = machine.spot, "machine up");
-                machine.idle_since = now;
-                machine.phase = Phase::Up;
-            }
-        }
         machine.recall_at = report.notice_s.map(|s| now + limits::micros(s));
         machine.settled |= report.token == token;
         if !machine.settled {
-            // Its first report to this leader, or a copy of one made for an earlier leader, which may be
-            // of any age: its list proves nothing, and taken in, it would make tasks seem to be in two
-            // places. The next report states our token. A machine that nobody expects may be long gone.
+            // Its first report to this leader, or a copy of one made for an earlier leader, which may be of
+            // any age: its list proves nothing, and taken in, it would make tasks seem to be in two places;
+            // nor does it prove that the machine is there. The next report states our token. A machine that
+            // nobody expects may be long gone, so that it is not recorded yet.
             if expected && !machine.recorded {
                 self.record(&report.machine);
             }
             return Taken::News;
         }
+        if checkin {
+            machine.heard = now;
+            if machine.phase != Phase::Up {
+                info!(machine = report.machine, zone = machine.zone, spot = machine.spot, "machine up");
+                machine.idle_since = now;
+                machine.phase = Phase::Up;
+            }
+        }
         let listed = self.take_listed(&report.machine, &report.tasks);
         self.drop_unlisted(&report.machine, &listed, (report.session, report.seq), checkin);
         if report.notice_s.is_some() {
@@ -362,6 +371,7 @@
         {
             let Some(machine) = self.machines.get_mut(name) else { return Vec::new() };
             machine.answered = now;
+            machine.told_token = !machine.settled;
             orders = Self::stop_orders(machine).collect();
             settled_and_recorded = machine.settled && machine.recorded;
         }
@@ -382,6 +392,7 @@
                     orders.push(Order::Start { id: *id, attempt: placed.attempt });
                 }
             }
+            machine.told.clone_from(&orders);
         }
         orders
     }
@@ -402,3 +413,34 @@
         }
     }
 }
+
+impl Machine {
+    /// A machine whose reports arrive may be deaf: no answer and no command reaches it. It shows when
+    /// reports running bear no trace of anything that the answers before them said.
+    fn judge_hearing(&mut self, report: &Report, token: u64) {
+        if report.session > self.session {
+            // Its lease ended although we answered, unless nobody answered it for as long.
+            self.unheard += u32::from(self.session > 0 && !self.told.is_empty());
+            self.told.clear();
+            return;
+        }
+        if self.told.is_empty() && !self.told_token {
+            return;
+        }
+        let status = |id: &TaskId, attempt: u64| {
+            let listed = report.tasks.iter().find(|t| t.id == *id && t.attempt == attempt);
+            listed.map(|t| t.status)
+        };
+        let carried_out = |order: &Order| match order {
+            Order::Start { id, attempt } => status(id, *attempt).is_some(),
+            Order::Forget { id, attempt } => status(id, *attempt).is_none(),
+            Order::Stop { id, attempt, .. } => {
+                !matches!(status(id, *attempt), Some(TaskStatus::Fetching | TaskStatus::Running))
+            }
+        };
+        let heard = self.told_token && report.token == token || self.told.iter().any(carried_out);
+        self.unheard = if heard { 0 } else { self.unheard + 1 };
+        self.told.clear();
+        self.told_token = false;
+    }
+}
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -292,6 +292,11 @@
         self.others().any(|i| self.fresh(i, now) && self.peers[i].status.state_age < limits::STATE_LOST)
     }
 
+    /// Whether a peer is heard, or there is none.
+    pub fn hears_a_peer(&self, now: u64) -> bool {
+        self.names.len() == 1 || self.others().any(|i| self.fresh(i, now))
+    }
+
     fn others(&self) -> impl Iterator<Item = usize> + '_ {
         (0..self.names.len()).filter(|i| *i != self.me)
     }
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -66,6 +66,9 @@
 /// two machines) is silent: when more are, the fault may well be on our side.
 pub const SILENT_SHARE: f64 = 0.25;
 
+/// Reports running without a trace of the answer before them, after which a machine is deaf: it gets no
+/// new tasks and is deleted. One lost answer is ordinary.
+pub const UNHEARD_DEAF: u32 = 2;
 /// This many machines silent at the same time point to our own connection.
 pub const SILENT_TOGETHER: u32 = 3;
 /// After a change of leader, a machine may hang twice at nodes that do not answer (4 s and a pause of
@@ -97,9 +100,11 @@
 
 /// How often leases are looked at: small against every lease and its margin.
 pub const EXPIRE_EVERY: u64 = 250_000;
-/// A job of which nothing has begun gains a class of priority in this time: the widest jobs of a class
-/// begin within four minutes (the users' rule), a boot and a fetch included.
-pub const BEGIN_WITHIN: u64 = 120_000_000;
+/// A job of which nothing has begun after the first time gains a class of priority in the second: from the
+/// lowest it passes the highest but critical within three minutes, so that with a boot and a fetch the
+/// widest jobs of a class begin within four (the users' rule), also behind a stream of narrow ones.
+pub const BEGIN_AFTER: u64 = 90_000_000;
+pub const BEGIN_AGING: u64 = 30_000_000;
 /// A round without news runs this often, for gaps and ages that have run out.
 pub const ROUND_IDLE: u64 = 500_000;
 /// Room of a stop that is not confirmed this long after its grace is not counted on any more.
--- a/src/server.rs
+++ b/src/server.rs
@@ -90,6 +90,7 @@
     let (types_to, types) = watch::channel(Types::default());
     let (summary_to, summary) = watch::channel(Summary::default());
     let healthy = Arc::new(AtomicBool::new(false));
+    let cut_off = Arc::new(AtomicBool::new(false));
     let names = settings.node_names();
     let me = names.iter().position(|n| *n == settings.node_name).unwrap_or(0);
     let sender = Sender { node: me, incarnation: rand::random() };
@@ -116,6 +117,7 @@
         summary,
         events.clone(),
         healthy.clone(),
+        cut_off.clone(),
     ));
     let acceptor = poem::listener::TcpAcceptor::from_tokio(public)
         .map_err(|source| ServeError::Io { what: "public_addr".into(), source })?;
@@ -160,6 +162,7 @@
         cloud_queue: None,
         summary: summary_to,
         healthy,
+        cut_off,
         types: Types::default(),
         checkins: VecDeque::new(),
         summary_due: 0,
@@ -241,6 +244,7 @@
     cloud_queue: Option<mpsc::UnboundedSender<CloudRequest>>,
     summary: watch::Sender<Summary>,
     healthy: Arc<AtomicBool>,
+    cut_off: Arc<AtomicBool>,
     types: Types,
     /// When workers checked in lately.
     checkins: VecDeque<u64>,
@@ -327,8 +331,11 @@
 
     fn judge_health(&mut self, now: u64) {
         let lost = now.saturating_sub(self.store.answered()) >= limits::STATE_LOST;
-        // In an outage that everybody shares nobody serves users better than we do.
-        let healthy = !self.types.is_empty() && (!lost || !self.leadership.peer_has_state(now));
+        // In an outage that everybody shares nobody serves users better than we do. A node that hears no
+        // peer either is more likely alone in it.
+        let shared = self.leadership.hears_a_peer(now) && !self.leadership.peer_has_state(now);
+        self.cut_off.store(lost && !shared, Ordering::Relaxed);
+        let healthy = !self.types.is_empty() && (!lost || shared);
         if self.healthy.swap(healthy, Ordering::Relaxed) != healthy {
             info!(healthy, "health");
         }
--- a/tests/core_rules.rs
+++ b/tests/core_rules.rs
@@ -77,6 +77,8 @@
     up_at: u64,
     dead: bool,
     cut_until: u64,
+    /// Until then its reports arrive, but nothing reaches it.
+    deaf_until: u64,
     session: u64,
     seq: u64,
     token: u64,
@@ -233,6 +235,12 @@
                     })
                     .collect(),
             };
+            if self.rng.random_bool(0.05) {
+                // A copy that arrives from a second to well over a lease later, perhaps at another leader,
+                // perhaps after its machine was deleted.
+                let late = self.rng.random_range(SECOND..4 * limits::micros(LEASE_S));
+                self.held.push((now + late, report.clone()));
+            }
             if now < worker.cut_until {
                 // Held by the cut: it arrives late, and nobody waits for its answer.
                 self.held.push((worker.cut_until, report));
@@ -248,7 +256,10 @@
         let (due, held) = std::mem::take(&mut self.held).into_iter().partition(|(at, _)| *at <= now);
         self.held = held;
         for (_, report) in Vec::<(u64, Report)>::into_iter(due) {
-            batch.push(Command::Checkin { reply: 0, report });
+            // The node that a copy comes to tells a leader by its token alone.
+            if report.token <= self.token {
+                batch.push(Command::Checkin { reply: 0, report });
+            }
         }
     }
 
@@ -263,7 +274,7 @@
                 }
                 let (now, token) = (self.now, self.token);
                 let Some(worker) = self.workers.get_mut(&name) else { return };
-                if worker.token > token || worker.dead {
+                if worker.token > token || worker.dead || now < worker.deaf_until {
                     return;
                 }
                 worker.token = token;
@@ -272,7 +283,8 @@
             }
             Effect::Direct { machine, session, orders, .. } => {
                 let Some(worker) = self.workers.get(&machine) else { return };
-                if worker.session == session && self.now >= worker.cut_until && !worker.dead {
+                let reached = self.now >= worker.cut_until.max(worker.deaf_until) && !worker.dead;
+                if worker.session == session && reached {
                     self.orders(&machine, &orders);
                 }
             }
@@ -318,6 +330,7 @@
                         up_at,
                         dead: false,
                         cut_until: 0,
+                        deaf_until: 0,
                         session: 1,
                         seq: 0,
                         token: 0,
@@ -426,7 +439,8 @@
         let Some(worker) = pick.and_then(|name| self.workers.get_mut(&name)) else { return };
         match kind {
             0 => worker.dead = true,
-            1 | 2 => worker.cut_until = cut,
+            1 => worker.cut_until = cut,
+            2 => worker.deaf_until = cut,
             3 => self.change_leader(),
             4 => {
                 let live: Vec<Uid> = self.live.keys().copied().collect();
--- /dev/null
+++ b/tests/scale.rs
@@ -0,0 +1,313 @@
+//! The core at the size of the grown deployments: work bounded by counted probes, not by a clock, and
+//! troubles told apart that look alike on a handful of machines.
+
+use dockpier::core::model::*;
+use dockpier::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob};
+use dockpier::limits::{self, SECOND};
+use dockpier::settings::{Operator, Team, Workers};
+use std::collections::{BTreeMap, BTreeSet};
+
+const MACHINES: usize = 850;
+const SLOTS: i64 = 4;
+
+fn spec(uid: u64, kind: Kind, priority: Priority, tasks: u32) -> JobSpec {
+    JobSpec {
+        uid: Uid(uid),
+        class: "c".into(),
+        team: "t".into(),
+        kind,
+        priority,
+        tasks,
+        needs: Resources::needed(1.0, 1.0, 1.0),
+        image: format!("i{}", uid % 7),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: kind == Kind::Service,
+        spot: false,
+        estimate_s: 60.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+/// A fleet whose workers carry out what they are told, unless they are deaf.
+struct Fleet {
+    core: Core,
+    now: u64,
+    seq: u64,
+    machines: usize,
+    running: BTreeMap<String, BTreeMap<TaskId, u64>>,
+    deaf: BTreeSet<String>,
+    deleted: BTreeSet<String>,
+    rented: u32,
+}
+
+fn name(i: usize) -> String {
+    format!("m-{i:06}")
+}
+
+impl Fleet {
+    fn new(machines: usize) -> Fleet {
+        let zones = vec!["a".to_string(), "b".to_string()];
+        let config = Config {
+            token: 1,
+            operator: Operator::default(),
+            workers: Workers { report_s: 4.0, lease_s: 20.0, cancel_s: 45.0 },
+            teams: vec![Team { name: "t".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 }],
+            zones: zones.clone(),
+            list_lag_s: 3.0,
+            round_probes: limits::ROUND_PROBES,
+            cpu_share: 0.2,
+            write_rps: 1000.0,
+            record_machines: 12,
+        };
+        let machine_type = MachineType {
+            name: "m".into(),
+            has: Resources::offered(SLOTS as f64, SLOTS as f64, SLOTS as f64),
+            price: 1.0,
+            spot_price: None,
+            boot_s: 60.0,
+            zones,
+        };
+        let mut fleet = Fleet {
+            core: Core::new(config, SECOND),
+            now: SECOND,
+            seq: 0,
+            machines,
+            running: BTreeMap::new(),
+            deaf: BTreeSet::new(),
+            deleted: BTreeSet::new(),
+            rented: 0,
+        };
+        fleet.step(vec![Command::Types(vec![machine_type]), Command::Load { jobs: vec![], records: vec![] }]);
+        (0..3).for_each(|_| fleet.report());
+        fleet
+    }
+
+    fn step(&mut self, batch: Vec<Command>) {
+        let effects = self.core.step(self.now, batch);
+        let mut more = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::Record { key, .. } => {
+                    more.push(Command::Recorded { key, outcome: Outcome::Done });
+                }
+                Effect::Delete(machines) => {
+                    self.deleted.extend(machines.iter().cloned());
+                    more.push(Command::Deleted { machines, outcome: Outcome::Done });
+                }
+                Effect::Rent { request, count, .. } => {
+                    self.rented += count;
+                    let outcome = Outcome::Refused;
+                    more.push(Command::Rented { request, machines: None, outcome });
+                }
+                Effect::Answer { reply, orders } => self.carry_out(&name(reply as usize), orders),
+                _ => {}
+            }
+        }
+        if !more.is_empty() {
+            self.step(more);
+        }
+    }
+
+    fn carry_out(&mut self, machine: &str, orders: Vec<Order>) {
+        if self.deaf.contains(machine) {
+            return;
+        }
+        let running = self.running.entry(machine.into()).or_default();
+        for order in orders {
+            match order {
+                Order::Start { id, attempt } => {
+                    running.insert(id, attempt);
+                }
+                Order::Stop { id, .. } | Order::Forget { id, .. } => {
+                    running.remove(&id);
+                }
+            }
+        }
+    }
+
+    /// All machines report within four seconds, in batches as they come.
+    fn report(&mut self) {
+        self.seq += 1;
+        let batches = 40;
+        for batch in 0..batches {
+            self.now += 4 * SECOND / batches as u64;
+            let reports = (batch..self.machines).step_by(batches);
+            let commands = reports.filter(|i| !self.deleted.contains(&name(*i))).map(|i| self.checkin(i));
+            let commands = commands.collect();
+            self.step(commands);
+        }
+    }
+
+    fn checkin(&self, i: usize) -> Command {
+        let machine = name(i);
+        let tasks = self.running.get(&machine).into_iter().flatten();
+        let tasks = tasks
+            .map(|(id, attempt)| ReportedTask { id: *id, attempt: *attempt, status: TaskStatus::Running })
+            .collect();
+        let report = Report {
+            machine,
+            address: String::new(),
+            machine_type: "m".into(),
+            zone: ["a", "b"][i % 2].into(),
+            spot: false,
+            session: 1,
+            seq: self.seq,
+            // The first report of all states no token yet.
+            token: u64::from(self.seq > 1),
+            notice_s: None,
+            tasks,
+        };
+        Command::Checkin { reply: i as u64, report }
+    }
+
+    fn submit(&mut self, spec: JobSpec) {
+        let entry = spec.uid.0;
+        self.step(vec![Command::JobAdded(StoredJob { spec, entry, age: 0, done: BTreeSet::new() })]);
+    }
+
+    fn finish(&mut self, uid: u64) {
+        for running in self.running.values_mut() {
+            running.retain(|id, _| id.uid != Uid(uid));
+        }
+        self.step(vec![Command::JobRemoved(Uid(uid))]);
+    }
+
+    fn width(&self, uid: u64) -> usize {
+        self.running.values().flat_map(|t| t.keys()).filter(|id| id.uid == Uid(uid)).count()
+    }
+}
+
+/// A round used to look at every machine for every task, for every batch of reports: the leader of 850
+/// machines did nothing else. What nobody changed must cost nothing but the idle rounds, and an arrival a
+/// few looks at the fleet.
+#[test]
+fn a_step_costs_by_what_changed_at_850_machines() {
+    let mut fleet = Fleet::new(MACHINES);
+    for uid in 0..200 {
+        fleet.submit(spec(uid, Kind::Service, Priority::Critical, 4));
+    }
+    for uid in 200..260 {
+        fleet.submit(spec(uid, Kind::Array, Priority::Normal, 30));
+    }
+    (0..4).for_each(|_| fleet.report());
+    let placed: usize = fleet.running.values().map(BTreeMap::len).sum();
+    assert_eq!(placed, 200 * 4 + 60 * 30);
+
+    let calm = fleet.core.probes;
+    fleet.report();
+    let idle_rounds = 4 * SECOND / limits::ROUND_IDLE + 1;
+    let each = 2 * MACHINES as u64 + 260;
+    assert!(fleet.core.probes - calm <= idle_rounds * each, "{} probes", fleet.core.probes - calm);
+
+    let before = fleet.core.probes;
+    fleet.now += SECOND;
+    fleet.submit(spec(300, Kind::Array, Priority::Normal, 150));
+    let used = fleet.core.probes - before;
+    assert!(used <= 10 * MACHINES as u64, "{used} probes for one arrival");
+    (0..2).for_each(|_| fleet.report());
+    assert_eq!(fleet.width(300), 150);
+}
+
+/// A machine came up, was recorded at its first report, and was deleted at once: it had been taken for
+/// one of the last leader's that does not come.
+#[test]
+fn a_new_machine_is_not_taken_for_one_that_does_not_come() {
+    let mut fleet = Fleet::new(0);
+    fleet.submit(spec(1, Kind::Array, Priority::Normal, 1));
+    // Long after the leader's start, as a boot is.
+    (0..5).for_each(|_| fleet.report());
+    fleet.machines = 1;
+    fleet.step(vec![Command::Listed(vec![dockpier::core::ListedMachine {
+        machine: dockpier::core::StoredMachine {
+            name: name(0),
+            machine_type: "m".into(),
+            zone: "a".into(),
+            spot: false,
+            address: String::new(),
+            images: BTreeSet::new(),
+        },
+        failed: false,
+        age_s: 1.0,
+    }])]);
+    fleet.seq = 0;
+    (0..4).for_each(|_| fleet.report());
+    assert!(fleet.deleted.is_empty());
+    assert_eq!(fleet.width(1), 1);
+}
+
+/// Reports arrive, answers do not: the starts sent there were taken for lost again and again, and the
+/// machine, ever empty, stayed the best place for them.
+#[test]
+fn a_deaf_machine_gets_no_more_starts_and_is_deleted_and_the_work_goes_elsewhere() {
+    let mut fleet = Fleet::new(12);
+    fleet.deaf.insert(name(3));
+    fleet.submit(spec(1, Kind::Array, Priority::Normal, 44));
+    (0..6).for_each(|_| fleet.report());
+    assert_eq!(fleet.deleted, BTreeSet::from([name(3)]));
+    assert_eq!(fleet.width(1), 44);
+}
+
+/// When many seem deaf at once, the answers are lost on our side: deleting them would lose their work.
+#[test]
+fn machines_that_seem_deaf_together_are_kept() {
+    let mut fleet = Fleet::new(12);
+    fleet.deaf.extend((0..6).map(name));
+    fleet.submit(spec(1, Kind::Array, Priority::Normal, 40));
+    (0..6).for_each(|_| fleet.report());
+    assert!(fleet.deleted.is_empty());
+    fleet.deaf.clear();
+    (0..6).for_each(|_| fleet.report());
+    assert_eq!(fleet.width(1), 40);
+}
+
+/// Thirty dead machines of 850 are their own fault, not our network's.
+#[test]
+fn a_mass_death_is_told_from_a_fault_of_our_own() {
+    let mut fleet = Fleet::new(MACHINES);
+    fleet.machines = MACHINES - 30;
+    (0..4).for_each(|_| fleet.report());
+    assert_eq!(fleet.deleted.len(), 30);
+}
+
+/// A wide array stood behind a stream of narrow ones, of its class or a higher one, for as long as the
+/// stream was more than the fleet could serve.
+#[test]
+fn the_widest_job_begins_within_four_minutes_under_a_stream_of_narrow_ones() {
+    for stream in [Priority::Low, Priority::High] {
+        let mut fleet = Fleet::new(3);
+        let mut next = 10;
+        let mut alive: Vec<u64> = Vec::new();
+        let mut wide_since = None;
+        let mut began = None;
+        for round in 0..100 {
+            // Two jobs of a task each a second where twelve places turn over every twelve seconds.
+            for _ in 0..8 {
+                fleet.submit(spec(next, Kind::Array, stream, 1));
+                alive.push(next);
+                next += 1;
+            }
+            let done: Vec<u64> = alive.iter().copied().filter(|uid| fleet.width(*uid) == 1).take(4).collect();
+            for uid in done {
+                fleet.finish(uid);
+                alive.retain(|u| *u != uid);
+            }
+            if round == 10 {
+                fleet.submit(spec(1, Kind::Array, Priority::Low, 90));
+                wide_since = Some(fleet.now);
+            }
+            fleet.report();
+            if fleet.width(1) > 0 && began.is_none() {
+                began = Some(fleet.now);
+                // A beginning, and what a round turns over, is not all that it asks for.
+                assert!(fleet.width(1) <= 4);
+            }
+        }
+        let waited = began.zip(wide_since).map(|(at, since)| (at - since) / SECOND);
+        assert!(waited.is_some_and(|s| s < 240), "stream of {stream:?}: began after {waited:?} s");
+    }
+}
