--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -295,12 +295,23 @@
         let unsettled = |m: &&Machine| m.inherited && !m.settled && m.phase == Phase::Expected;
         let up: Vec<&Machine> =
             self.machines.values().filter(|m| m.phase == Phase::Up || unsettled(m)).collect();
-        let quiet = |m: &&&Machine| now >= m.heard + silent || m.unheard >= limits::UNHEARD_DEAF;
-        let silent_now = up.iter().filter(quiet).count();
-        let ours = silent_now > 2 && silent_now as f64 > limits::SILENT_SHARE * up.len() as f64;
+        // Workers of a holder that is gone hang there and at another node before they come.
+        let patience = |m: &Machine| {
+            let holder_gone = m.via.is_some_and(|node| self.unheard_nodes.contains(&node));
+            silent.max(if holder_gone { limits::COMES_LATE } else { 0 })
+        };
+        let quiet = |m: &&&Machine| now >= m.heard + patience(m) || m.unheard >= limits::UNHEARD_DEAF;
         let mut back = Vec::new();
-        if !ours && now >= self.started + silent.max(limits::COMES_LATE) {
-            back.extend(up.iter().filter(quiet).filter(|m| !m.deleting).map(|m| m.name.clone()));
+        // By the way they report: many that fall silent together there have lost that way, not themselves.
+        let ways: BTreeSet<Option<usize>> = up.iter().map(|m| m.via).collect();
+        for way in ways {
+            let here: Vec<&&Machine> = up.iter().filter(|m| m.via == way).collect();
+            let silent_now: Vec<&&Machine> = here.iter().copied().filter(|m| quiet(m)).collect();
+            let share = limits::SILENT_SHARE * here.len() as f64;
+            let lost_way = silent_now.len() > 2 && silent_now.len() as f64 > share;
+            if !lost_way && now >= self.started + silent.max(limits::COMES_LATE) {
+                back.extend(silent_now.iter().filter(|m| !m.deleting).map(|m| m.name.clone()));
+            }
         }
         for machine in self.machines.values().filter(|m| !m.deleting) {
             let never_up = machine.phase == Phase::Expected && now >= machine.boot_give_up;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -32,6 +32,8 @@
     pub write_rps: f64,
     /// Machines that fit into one record.
     pub record_machines: usize,
+    /// For how long a holder may answer for a machine, in microseconds; 0: there are no others.
+    pub block_lease: u64,
 }
 
 /// A job as the state service has it.
@@ -96,6 +98,13 @@
     Checkin {
         reply: u64,
         report: Report,
+        /// The holder that passed it on; None: it came here.
+        via: Option<usize>,
+    },
+    /// Machines that a holder has answered by itself.
+    Heard {
+        node: usize,
+        machines: Vec<String>,
     },
     /// A worker's report in answer to a direct command.
     OrdersAnswered(Report),
@@ -138,6 +147,13 @@
     Answer {
         reply: u64,
         orders: Vec<Order>,
+        /// The node that passed the report on may answer the next ones by itself if they say nothing new.
+        keep: bool,
+    },
+    /// A holder is to pass this machine's next report on.
+    Wake {
+        node: usize,
+        machine: String,
     },
     /// Stops sent straight to a worker, which then need not wait for its next report.
     Direct {
@@ -206,12 +222,16 @@
     settled: bool,
     /// Until when somebody else may have kept workers alive under a token of the past.
     kept_alive: u64,
+    /// Nodes that are not heard: what reports through them may yet come another way.
+    pub unheard_nodes: BTreeSet<usize>,
     effects: Vec<Effect>,
 }
 
 impl Core {
     pub fn new(config: Config, now: u64) -> Self {
         let writes = records::WriteBudget::new(config.write_rps, now);
+        // Holders may answer as long as that for the last leader.
+        let block_lease = config.block_lease;
         Core {
             config,
             records: records::Records::default(),
@@ -234,7 +254,8 @@
             unsettled: BTreeSet::new(),
             attempts: 0,
             settled: false,
-            kept_alive: now,
+            kept_alive: now + limits::lengthened(block_lease),
+            unheard_nodes: BTreeSet::new(),
             effects: Vec::new(),
         }
     }
@@ -264,8 +285,8 @@
         let held = self.news && self.loaded;
         let replies = if held { Vec::new() } else { std::mem::take(&mut self.held) };
         for (reply, machine) in replies {
-            let orders = self.answer(&machine);
-            self.effects.push(Effect::Answer { reply, orders });
+            let (orders, keep) = self.answer(&machine);
+            self.effects.push(Effect::Answer { reply, orders, keep });
         }
         std::mem::take(&mut self.effects)
     }
@@ -275,13 +296,14 @@
             Command::Load { jobs, records } => self.load(jobs, records),
             Command::JobAdded(stored) => self.add_job(stored, false),
             Command::JobRemoved(uid) => self.remove_job(uid),
-            Command::Checkin { reply, report } => {
+            Command::Checkin { reply, report, via } => {
                 if report.token > self.config.token {
                     self.effects.push(Effect::Deposed(report.token));
                     return;
                 }
-                return self.checkin(reply, report);
+                return self.checkin(reply, report, via);
             }
+            Command::Heard { node, machines } => return self.heard_through(node, machines),
             Command::OrdersAnswered(report) => {
                 if self.report(report, false) != Taken::News {
                     return;
@@ -313,19 +335,25 @@
         self.news = true;
     }
 
-    fn checkin(&mut self, reply: u64, report: Report) {
+    fn checkin(&mut self, reply: u64, report: Report, via: Option<usize>) {
         let name = report.machine.clone();
-        match self.report(report, true) {
+        let taken = self.report(report, true);
+        if let Some(machine) = self.machines.get_mut(&name).filter(|_| taken != Taken::Late) {
+            machine.via = via;
+        }
+        match taken {
             Taken::News => {
                 self.news = true;
                 self.held.push((reply, name));
             }
             Taken::Unchanged => {
-                let orders = self.answer(&name);
-                self.effects.push(Effect::Answer { reply, orders });
+                let (orders, keep) = self.answer(&name);
+                self.effects.push(Effect::Answer { reply, orders, keep });
             }
             // A copy, or a machine that is gone: nobody waits for commands, and no lease hangs on it.
-            Taken::Late => self.effects.push(Effect::Answer { reply, orders: Vec::new() }),
+            Taken::Late => {
+                self.effects.push(Effect::Answer { reply, orders: Vec::new(), keep: false });
+            }
         }
     }
 
@@ -410,6 +438,7 @@
             };
             machine.tasks.insert(id, placed);
         }
+        self.wake(name);
     }
 
     fn stop(&mut self, name: &str, id: TaskId, grace_s: f64) {
@@ -427,6 +456,7 @@
         if placed.stopping.is_none_or(|(_, g)| g > grace) {
             placed.stopping = Some((now, grace));
             self.fleet.direct.insert(name.to_string());
+            self.wake(name);
         }
     }
 
@@ -500,7 +530,9 @@
             .values()
             // A worker first heard of may have begun its lease as late as then: without its report in the
             // sum, every machine younger than this leader was given up the moment it came up.
-            .filter(|m| m.phase != Phase::Lost && now >= m.answered.max(m.heard).max(alive) + lease)
+            .filter(|m| {
+                m.phase != Phase::Lost && now >= m.answered.max(m.heard).max(m.kept_until).max(alive) + lease
+            })
             .filter(|m| m.phase == Phase::Up || !m.tasks.is_empty() || (m.inherited && !m.settled))
             .map(|m| m.name.clone())
             .collect();
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -246,6 +246,12 @@
     pub heard: u64,
     /// The last time an answer may have renewed its lease.
     pub answered: u64,
+    /// The node that its last report came through, if that was not this one, and until when that node may
+    /// answer it by itself.
+    pub via: Option<usize>,
+    pub kept_until: u64,
+    /// Its holder has been told to pass its next report on.
+    pub woken: bool,
     pub tasks: BTreeMap<TaskId, Placed>,
     /// The task list of the newest report, to tell an unchanged one by.
     pub listed: Vec<ReportedTask>,
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -28,6 +28,9 @@
             inherited: false,
             heard: 0,
             answered: 0,
+            via: None,
+            kept_until: 0,
+            woken: false,
             tasks: BTreeMap::new(),
             listed: Vec::new(),
             exited: BTreeMap::new(),
@@ -363,14 +366,16 @@
         own.chain(foreign)
     }
 
-    /// The answer to a check-in, which renews the machine's lease.
-    pub fn answer(&mut self, name: &str) -> Vec<Order> {
+    /// The answer to a check-in, which renews the machine's lease; and whether the node that it came
+    /// through may answer by itself what says nothing new.
+    pub fn answer(&mut self, name: &str) -> (Vec<Order>, bool) {
         let now = self.now;
         let settled_and_recorded;
         let mut orders: Vec<Order>;
         {
-            let Some(machine) = self.machines.get_mut(name) else { return Vec::new() };
+            let Some(machine) = self.machines.get_mut(name) else { return (Vec::new(), false) };
             machine.answered = now;
+            machine.woken = false;
             machine.told_token = !machine.settled;
             orders = Self::stop_orders(machine).collect();
             settled_and_recorded = machine.settled && machine.recorded;
@@ -394,7 +399,43 @@
             }
             machine.told.clone_from(&orders);
         }
-        orders
+        let lease = self.config.block_lease;
+        let Some(machine) = self.machines.get_mut(name) else { return (orders, false) };
+        let keep = lease > 0 && machine.via.is_some() && orders.is_empty() && machine.calm();
+        let keep = keep && machine.exited.is_empty();
+        if keep {
+            machine.kept_until = machine.kept_until.max(now + limits::lengthened(lease));
+        }
+        (orders, keep)
+    }
+
+    /// A holder has answered these machines by itself. Their leases run on; one that there is something
+    /// to tell is to be passed on, whether or not its holder was told so before.
+    pub fn heard_through(&mut self, node: usize, names: Vec<String>) {
+        let now = self.now;
+        let until = now + limits::lengthened(self.config.block_lease);
+        for name in names {
+            let Some(machine) = self.machines.get_mut(&name) else { continue };
+            machine.kept_until = machine.kept_until.max(until);
+            if machine.via != Some(node) {
+                continue;
+            }
+            machine.heard = now;
+            if !machine.calm() {
+                machine.woken = false;
+                self.wake(&name);
+            }
+        }
+    }
+
+    /// There is something to tell this machine: its holder is to pass its next report on.
+    pub fn wake(&mut self, name: &str) {
+        let now = self.now;
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        if let (Some(node), false, true) = (machine.via, machine.woken, machine.kept_until > now) {
+            machine.woken = true;
+            self.effects.push(Effect::Wake { node, machine: name.to_string() });
+        }
     }
 
     /// Stops go straight to the worker too, since its next report may be seconds away.
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -5,7 +5,7 @@
 //! Every deadline counts from when the request was sent and is shortened for drift; the granting
 //! side counts from receipt and lengthens it.
 
-use crate::limits;
+use crate::limits::{self, lengthened, shortened};
 use crate::wire::Epoch;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -140,6 +140,8 @@
     token: u64,
     /// The last leader heard: node, token, when.
     leader: Option<(usize, u64, u64)>,
+    /// The send time, on its clock, of the last heartbeat of the leader heard last.
+    leader_stamp: u64,
     /// Workers have reached the leader heard last.
     leader_reached: bool,
     epoch: Option<(Epoch, u64)>,
@@ -163,14 +165,6 @@
     rng: SmallRng,
 }
 
-fn shortened(time: u64) -> u64 {
-    (time as f64 * (1.0 - limits::DRIFT)) as u64
-}
-
-fn lengthened(time: u64) -> u64 {
-    (time as f64 * (1.0 + limits::DRIFT)) as u64
-}
-
 impl Leadership {
     pub fn new(
         names: Vec<String>,
@@ -191,6 +185,7 @@
             promise_out: None,
             token: 0,
             leader: None,
+            leader_stamp: 0,
             leader_reached: false,
             epoch: None,
             probed: false,
@@ -287,6 +282,18 @@
         known.then(|| self.names[node].as_str())
     }
 
+    /// The leader that this node follows: node, token, and the stamp of its last heartbeat.
+    pub fn followed(&self, now: u64) -> Option<(usize, u64, u64)> {
+        let (node, token, heard) = self.leader?;
+        let fresh = node != self.me && now < heard + limits::PEER_WORD && !self.is_leader();
+        fresh.then_some((node, token, self.leader_stamp))
+    }
+
+    /// Which nodes are heard; this one is.
+    pub fn heard(&self, now: u64) -> Vec<bool> {
+        (0..self.names.len()).map(|i| i == self.me || self.fresh(i, now)).collect()
+    }
+
     /// Whether some peer reaches the state service.
     pub fn peer_has_state(&self, now: u64) -> bool {
         self.others().any(|i| self.fresh(i, now) && self.peers[i].status.state_age < limits::STATE_LOST)
@@ -582,6 +589,7 @@
         }
         self.leader_reached |= self.peers[from].status.workers > 0;
         self.leader = Some((from, token, now));
+        self.leader_stamp = sent;
         self.campaigning = false;
         if matches!(self.role, Role::Follower) && self.promise_out.is_some_and(|(to, _)| to == self.me) {
             // Our own campaign is over, and with it what we promised ourselves.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! stand around them and speak to users, workers, the cloud, the state service and the peers.
 
 pub mod api;
+pub mod blocks;
 pub mod cli;
 pub mod cloud;
 pub mod core;
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -46,6 +46,37 @@
     micros((cancel_s - lease_s) / 2.0)
 }
 
+/// A time as the side counts it that must stop first.
+pub fn shortened(time: u64) -> u64 {
+    (time as f64 * (1.0 - DRIFT)) as u64
+}
+
+/// A time as the side counts it that must wait for the other.
+pub fn lengthened(time: u64) -> u64 {
+    (time as f64 * (1.0 + DRIFT)) as u64
+}
+
+// ---- blocks ----
+
+/// How long a holder may answer for a machine after the leader was told of it: two reports and a change of
+/// leader with its pauses.
+pub fn block_lease(report_s: f64) -> u64 {
+    micros(report_s * 2.0) + 6_000_000
+}
+
+/// A holder tells the leader this often which machines it answered.
+pub const BLOCK_TELL: u64 = 1_000_000;
+/// Words to the leader without confirmation that are remembered.
+pub const BLOCK_UNCONFIRMED: usize = 8;
+/// Machines that one holder keeps: some 300 bytes each.
+pub const BLOCK_MOST: usize = 4_096;
+/// A report that was passed on waits this long for the leader; then the worker is kept alive if it may be,
+/// or sent elsewhere. Well within the 4 s that it gives us.
+pub const RELAY_PATIENCE: u64 = 1_500_000;
+/// What a holder passed on or told is taken by the leader within this time of the heartbeat that it
+/// echoes: bytes that a cut held back must do nothing.
+pub const RELAY_FRESH: u64 = 3_000_000;
+
 // ---- start rule ----
 
 /// Added to every worker lease: how late a worker may notice that its lease ended.
@@ -203,8 +234,9 @@
 pub const QUEUE: usize = 1_024;
 /// Commands taken in one batch.
 pub const BATCH: usize = 64;
-/// Frames waiting for one peer; more are dropped, the next heartbeat makes up for them.
-pub const PEER_QUEUE: usize = 64;
+/// Frames waiting for one peer: all workers of a block after a change of leader, a heartbeat between them.
+/// More are dropped; the next heartbeat, and the worker's next report, make up for them.
+pub const PEER_QUEUE: usize = 512;
 /// Final states remembered by a node so that late polls cost no request.
 pub const OVER_CACHE: usize = 4_096;
 /// User requests in progress at once; beyond it they are shed with `Retry-After`.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,25 +1,29 @@
 //! Frames between controllers: a fixed layout each, read in place.
 
+use crate::core::model::{Cause, Report, ReportedTask, TaskId, TaskStatus, Uid};
+use crate::core::Order;
 use crate::leadership::{Message, Status};
 use crate::limits;
 use std::net::SocketAddr;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tracing::{debug, warn};
 use zerocopy::little_endian::{U16, U32, U64};
 use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
 
-const MAGIC: u32 = 0x444b_5001;
+/// The last digits are the version of these layouts.
+const MAGIC: u32 = 0x444b_5002;
 
-/// The head of every frame; `count` job lines follow a summary, nothing follows the others.
+/// The head of every frame; `length` bytes follow it.
 #[derive(Debug, Clone, Copy, FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
 #[repr(C)]
 struct Head {
     magic: U32,
+    length: U32,
     kind: u8,
     node: u8,
-    count: U16,
+    reserved: U16,
     incarnation: U64,
     sequence: U64,
     state_age: U64,
@@ -38,21 +42,94 @@
     running: U32,
 }
 
+/// A worker's report on its way to the leader; the tasks and then the names follow it.
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
+#[repr(C)]
+struct ReportLine {
+    session: U64,
+    seq: U64,
+    token: U64,
+    /// Microseconds until the cloud takes the machine; all ones: no notice.
+    notice: U64,
+    tasks: U32,
+    spot: u8,
+    machine: u8,
+    address: u8,
+    machine_type: u8,
+    zone: u8,
+    reserved: [u8; 3],
+}
+
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
+#[repr(C)]
+struct TaskLine {
+    uid: U64,
+    attempt: U64,
+    task: U32,
+    status: u8,
+    reserved: [u8; 3],
+}
+
+/// What a worker is to be told.
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
+#[repr(C)]
+struct OrderLine {
+    uid: U64,
+    attempt: U64,
+    grace_ms: U32,
+    task: U32,
+    kind: u8,
+    reserved: [u8; 7],
+}
+
 const HEARTBEAT: u8 = 1;
 const GRANT: u8 = 2;
 const PROMISE_REQUEST: u8 = 3;
 const PROMISE: u8 = 4;
 const RELEASE: u8 = 5;
 const SUMMARY: u8 = 6;
+const REPORT: u8 = 7;
+const REPLY: u8 = 8;
+const WAKE: u8 = 9;
+const HEARD: u8 = 10;
+const CONFIRMED: u8 = 11;
+
+const NO_NOTICE: u64 = u64::MAX;
+/// The most bytes that may follow a head: a report is at most a request body.
+const FOLLOWING_MOST: usize = limits::BODY;
 
 /// What a summary frame can carry at most.
-pub const SUMMARY_MOST: usize = 4_000;
+pub const SUMMARY_MOST: usize = FOLLOWING_MOST / size_of::<Line>();
 
 #[derive(Debug, Clone)]
 pub enum Payload {
     Leadership(Status, Message),
     /// (job number, finished, running)
     Summary(Vec<(u64, u32, u32)>),
+    /// A report passed on to the leader, with the stamp of its last heartbeat.
+    Report {
+        id: u64,
+        stamp: u64,
+        report: Report,
+    },
+    /// The leader's answer to it; without a token it is not entitled to give one.
+    Reply {
+        id: u64,
+        token: Option<u64>,
+        keep: bool,
+        orders: Vec<Order>,
+    },
+    /// Machines whose next report is to be passed on.
+    Wake(Vec<String>),
+    /// Machines that their holder answered by itself, with the stamp of the leader's last heartbeat.
+    Heard {
+        id: u64,
+        stamp: u64,
+        machines: Vec<String>,
+    },
+    Confirmed {
+        id: u64,
+    },
 }
 
 #[derive(Debug)]
@@ -68,12 +145,165 @@
     pub incarnation: u64,
 }
 
+fn status_code(status: TaskStatus) -> u8 {
+    match status {
+        TaskStatus::Fetching => 0,
+        TaskStatus::Running => 1,
+        TaskStatus::Saving => 2,
+        TaskStatus::Exited(Cause::Done) => 3,
+        TaskStatus::Exited(Cause::Stopped) => 4,
+        TaskStatus::Exited(Cause::Error) => 5,
+        TaskStatus::Exited(Cause::NoRoom) => 6,
+        TaskStatus::Exited(Cause::Busy) => 7,
+        TaskStatus::Exited(Cause::Unknown) => 8,
+    }
+}
+
+fn status_of(code: u8) -> Option<TaskStatus> {
+    Some(match code {
+        0 => TaskStatus::Fetching,
+        1 => TaskStatus::Running,
+        2 => TaskStatus::Saving,
+        3 => TaskStatus::Exited(Cause::Done),
+        4 => TaskStatus::Exited(Cause::Stopped),
+        5 => TaskStatus::Exited(Cause::Error),
+        6 => TaskStatus::Exited(Cause::NoRoom),
+        7 => TaskStatus::Exited(Cause::Busy),
+        8 => TaskStatus::Exited(Cause::Unknown),
+        _ => return None,
+    })
+}
+
+fn write_report(report: &Report, to: &mut Vec<u8>) {
+    let names = [&report.machine, &report.address, &report.machine_type, &report.zone];
+    let lengths = names.map(|name| name.len().min(usize::from(u8::MAX)) as u8);
+    let notice = report.notice_s.map_or(NO_NOTICE, limits::micros);
+    let line = ReportLine {
+        session: report.session.into(),
+        seq: report.seq.into(),
+        token: report.token.into(),
+        notice: notice.into(),
+        tasks: (report.tasks.len() as u32).into(),
+        spot: report.spot.into(),
+        machine: lengths[0],
+        address: lengths[1],
+        machine_type: lengths[2],
+        zone: lengths[3],
+        reserved: [0; 3],
+    };
+    to.extend_from_slice(line.as_bytes());
+    for task in &report.tasks {
+        let line = TaskLine {
+            uid: task.id.uid.0.into(),
+            attempt: task.attempt.into(),
+            task: task.id.task.into(),
+            status: status_code(task.status),
+            reserved: [0; 3],
+        };
+        to.extend_from_slice(line.as_bytes());
+    }
+    for (name, length) in names.into_iter().zip(lengths) {
+        to.extend_from_slice(&name.as_bytes()[..usize::from(length)]);
+    }
+}
+
+/// Whether the report fits a frame: names of up to 255 bytes, and not too many tasks.
+pub fn carries(report: &Report) -> bool {
+    let names = [&report.machine, &report.address, &report.machine_type, &report.zone];
+    let tasks = report.tasks.len() * size_of::<TaskLine>();
+    let most = usize::from(u8::MAX);
+    names.iter().all(|n| n.len() <= most)
+        && size_of::<ReportLine>() + tasks + names.len() * most <= FOLLOWING_MOST
+}
+
+fn read_report(bytes: &[u8]) -> Result<Report, &'static str> {
+    let short = "report too short";
+    let (line, rest) = ReportLine::ref_from_prefix(bytes).map_err(|_| short)?;
+    let (tasks, mut rest) =
+        <[TaskLine]>::ref_from_prefix_with_elems(rest, line.tasks.get() as usize).map_err(|_| short)?;
+    let tasks = tasks.iter().map(|t| {
+        let id = TaskId { uid: Uid(t.uid.get()), task: t.task.get() };
+        let status = status_of(t.status).ok_or("unknown task status")?;
+        Ok(ReportedTask { id, attempt: t.attempt.get(), status })
+    });
+    let tasks = tasks.collect::<Result<Vec<_>, &'static str>>()?;
+    let mut name = |length: u8| {
+        let (name, after) = rest.split_at_checked(length.into()).ok_or(short)?;
+        rest = after;
+        String::from_utf8(name.to_vec()).map_err(|_| "name is not text")
+    };
+    let (machine, address) = (name(line.machine)?, name(line.address)?);
+    let (machine_type, zone) = (name(line.machine_type)?, name(line.zone)?);
+    if !rest.is_empty() {
+        return Err("wrong length");
+    }
+    let notice = line.notice.get();
+    Ok(Report {
+        machine,
+        address,
+        machine_type,
+        zone,
+        spot: line.spot != 0,
+        session: line.session.get(),
+        seq: line.seq.get(),
+        token: line.token.get(),
+        notice_s: (notice != NO_NOTICE).then_some(notice as f64 / limits::SECOND as f64),
+        tasks,
+    })
+}
+
+fn order_line(order: &Order) -> OrderLine {
+    let (kind, id, attempt, grace_s) = match order {
+        Order::Start { id, attempt } => (0, id, attempt, 0.0),
+        Order::Stop { id, attempt, grace_s } => (1, id, attempt, *grace_s),
+        Order::Forget { id, attempt } => (2, id, attempt, 0.0),
+    };
+    OrderLine {
+        uid: id.uid.0.into(),
+        attempt: (*attempt).into(),
+        grace_ms: ((grace_s * 1000.0) as u32).into(),
+        task: id.task.into(),
+        kind,
+        reserved: [0; 7],
+    }
+}
+
+fn order_of(line: &OrderLine) -> Result<Order, &'static str> {
+    let id = TaskId { uid: Uid(line.uid.get()), task: line.task.get() };
+    let attempt = line.attempt.get();
+    match line.kind {
+        0 => Ok(Order::Start { id, attempt }),
+        1 => Ok(Order::Stop { id, attempt, grace_s: f64::from(line.grace_ms.get()) / 1000.0 }),
+        2 => Ok(Order::Forget { id, attempt }),
+        _ => Err("unknown order"),
+    }
+}
+
+/// Names, each behind its length.
+fn write_names(names: &[String], to: &mut Vec<u8>) {
+    for name in names.iter().filter(|n| n.len() <= usize::from(u8::MAX)) {
+        to.push(name.len() as u8);
+        to.extend_from_slice(name.as_bytes());
+    }
+}
+
+fn read_names(mut bytes: &[u8]) -> Result<Vec<String>, &'static str> {
+    let mut names = Vec::new();
+    while let Some((length, rest)) = bytes.split_first() {
+        let (name, rest) = rest.split_at_checked(usize::from(*length)).ok_or("name too short")?;
+        names.push(String::from_utf8(name.to_vec()).map_err(|_| "name is not text")?);
+        bytes = rest;
+    }
+    Ok(names)
+}
+
 pub fn encode(sender: Sender, sequence: u64, payload: &Payload) -> Vec<u8> {
     let mut head = Head {
         magic: MAGIC.into(),
+        length: 0.into(),
         kind: 0,
         node: sender.node as u8,
-        count: 0.into(),
+        reserved: 0.into(),
         incarnation: sender.incarnation.into(),
         sequence: sequence.into(),
         state_age: 0.into(),
@@ -82,7 +312,8 @@
         token: 0.into(),
         stamp: 0.into(),
     };
-    let mut lines: &[(u64, u32, u32)] = &[];
+    let mut body = Vec::new();
+    // `stamp` echoes a time or numbers a frame; where a frame has both, `state_age` holds the time.
     match payload {
         Payload::Leadership(status, message) => {
             head.state_age = status.state_age.into();
@@ -102,16 +333,35 @@
             head.stamp = stamp.into();
         }
         Payload::Summary(all) => {
-            lines = &all[..all.len().min(SUMMARY_MOST)];
             head.kind = SUMMARY;
-            head.count = (lines.len() as u16).into();
+            for (uid, done, running) in &all[..all.len().min(SUMMARY_MOST)] {
+                let line = Line { uid: (*uid).into(), done: (*done).into(), running: (*running).into() };
+                body.extend_from_slice(line.as_bytes());
+            }
         }
+        Payload::Report { id, stamp, report } => {
+            (head.kind, head.stamp, head.state_age) = (REPORT, (*id).into(), (*stamp).into());
+            write_report(report, &mut body);
+        }
+        Payload::Reply { id, token, keep, orders } => {
+            (head.kind, head.stamp) = (REPLY, (*id).into());
+            head.token = token.unwrap_or(0).into();
+            head.workers = u32::from(*keep).into();
+            orders.iter().for_each(|order| body.extend_from_slice(order_line(order).as_bytes()));
+        }
+        Payload::Wake(machines) => {
+            head.kind = WAKE;
+            write_names(machines, &mut body);
+        }
+        Payload::Heard { id, stamp, machines } => {
+            (head.kind, head.stamp, head.state_age) = (HEARD, (*id).into(), (*stamp).into());
+            write_names(machines, &mut body);
+        }
+        Payload::Confirmed { id } => (head.kind, head.stamp) = (CONFIRMED, (*id).into()),
     }
+    head.length = (body.len() as u32).into();
     let mut bytes = head.as_bytes().to_vec();
-    for (uid, done, running) in lines {
-        let line = Line { uid: (*uid).into(), done: (*done).into(), running: (*running).into() };
-        bytes.extend_from_slice(line.as_bytes());
-    }
+    bytes.append(&mut body);
     bytes
 }
 
@@ -119,13 +369,13 @@
 fn following(head: &[u8]) -> Result<usize, &'static str> {
     let head = Head::ref_from_bytes(head).map_err(|_| "wrong length")?;
     if head.magic.get() != MAGIC {
-        return Err("not a frame of this service");
+        return Err("not a frame of this version");
     }
-    let count = usize::from(head.count.get());
+    let length = head.length.get() as usize;
     match head.kind {
-        SUMMARY if count <= SUMMARY_MOST => Ok(count * size_of::<Line>()),
-        HEARTBEAT..=RELEASE if count == 0 => Ok(0),
-        _ => Err("unknown kind or count"),
+        HEARTBEAT..=RELEASE | CONFIRMED if length == 0 => Ok(0),
+        SUMMARY..=HEARD if length <= FOLLOWING_MOST => Ok(length),
+        _ => Err("unknown kind or length"),
     }
 }
 
@@ -135,26 +385,32 @@
     if following(head.as_bytes())? != rest.len() {
         return Err("wrong length");
     }
-    let (token, stamp) = (head.token.get(), head.stamp.get());
-    let status = Status { state_age: head.state_age.get(), workers: head.workers.get(), machines: 0 };
-    let message = match head.kind {
-        HEARTBEAT => Message::Heartbeat { token, sent: stamp },
-        GRANT => Message::Grant { token, echo: stamp },
-        PROMISE_REQUEST => Message::PromiseRequest { sent: stamp },
-        PROMISE => Message::Promise { echo: stamp },
-        RELEASE => Message::Release { token, successor: head.successor.get() as usize },
-        _ => {
+    let (token, stamp, time) = (head.token.get(), head.stamp.get(), head.state_age.get());
+    let leadership = |message| {
+        let status = Status { state_age: time, workers: head.workers.get(), machines: 0 };
+        Payload::Leadership(status, message)
+    };
+    let payload = match head.kind {
+        HEARTBEAT => leadership(Message::Heartbeat { token, sent: stamp }),
+        GRANT => leadership(Message::Grant { token, echo: stamp }),
+        PROMISE_REQUEST => leadership(Message::PromiseRequest { sent: stamp }),
+        PROMISE => leadership(Message::Promise { echo: stamp }),
+        RELEASE => leadership(Message::Release { token, successor: head.successor.get() as usize }),
+        SUMMARY => {
             let lines = <[Line]>::ref_from_bytes(rest).map_err(|_| "wrong length")?;
-            let lines = lines.iter().map(|l| (l.uid.get(), l.done.get(), l.running.get())).collect();
-            return Ok((
-                head.node.into(),
-                head.incarnation.get(),
-                head.sequence.get(),
-                Payload::Summary(lines),
-            ));
+            Payload::Summary(lines.iter().map(|l| (l.uid.get(), l.done.get(), l.running.get())).collect())
         }
+        REPORT => Payload::Report { id: stamp, stamp: time, report: read_report(rest)? },
+        REPLY => {
+            let lines = <[OrderLine]>::ref_from_bytes(rest).map_err(|_| "wrong length")?;
+            let orders = lines.iter().map(order_of).collect::<Result<_, _>>()?;
+            let token = (token > 0).then_some(token);
+            Payload::Reply { id: stamp, token, keep: head.workers.get() != 0, orders }
+        }
+        WAKE => Payload::Wake(read_names(rest)?),
+        HEARD => Payload::Heard { id: stamp, stamp: time, machines: read_names(rest)? },
+        _ => Payload::Confirmed { id: stamp },
     };
-    let payload = Payload::Leadership(status, message);
     Ok((head.node.into(), head.incarnation.get(), head.sequence.get(), payload))
 }
 
@@ -163,8 +419,8 @@
 pub async fn send_to(address: SocketAddr, sender: Sender, mut queue: mpsc::Receiver<Payload>) {
     let mut sequence = 0;
     let mut stream: Option<TcpStream> = None;
-    while let Some(payload) = queue.recv().await {
-        sequence += 1;
+    let mut waiting = Vec::new();
+    while queue.recv_many(&mut waiting, limits::PEER_QUEUE).await > 0 {
         if stream.is_none() {
             let connect = tokio::time::timeout(limits::CONNECT_TIMEOUT, TcpStream::connect(address));
             stream = match connect.await {
@@ -177,13 +433,19 @@
             };
             if stream.is_none() {
                 // What queued up meanwhile is old news.
+                waiting.clear();
                 while queue.try_recv().is_ok() {}
                 continue;
             }
         }
+        // What waits goes out together: every write costs a system call and a packet.
+        let mut frames = Vec::new();
+        for payload in waiting.drain(..) {
+            sequence += 1;
+            frames.append(&mut encode(sender, sequence, &payload));
+        }
         if let Some(connected) = &mut stream {
-            let frame = encode(sender, sequence, &payload);
-            let write = tokio::time::timeout(limits::CONNECT_TIMEOUT, connected.write_all(&frame));
+            let write = tokio::time::timeout(limits::CONNECT_TIMEOUT, connected.write_all(&frames));
             if !matches!(write.await, Ok(Ok(()))) {
                 debug!(%address, "peer connection lost");
                 stream = None;
@@ -216,13 +478,14 @@
 }
 
 async fn receive(
-    mut stream: TcpStream,
+    stream: TcpStream,
     connection: u64,
     nodes: usize,
     me: usize,
     latest: Latest,
     to: mpsc::Sender<Received>,
 ) {
+    let mut stream = BufReader::new(stream);
     let mut bytes = vec![0; size_of::<Head>()];
     loop {
         bytes.resize(size_of::<Head>(), 0);
@@ -280,11 +543,68 @@
             assert!(matches!(payload, Payload::Leadership(s, m) if s == status && m == message));
             assert!(decode(&bytes[..bytes.len() - 1]).is_err());
         }
-        let mut bytes = encode(sender, 1, &Payload::Summary(vec![(412, 3, 1), (413, 0, 0)]));
+        let bytes = encode(sender, 1, &Payload::Summary(vec![(412, 3, 1), (413, 0, 0)]));
         assert!(matches!(decode(&bytes).unwrap().3, Payload::Summary(l) if l == [(412, 3, 1), (413, 0, 0)]));
-        bytes[4] = 99;
-        assert!(decode(&bytes).is_err());
-        bytes[0] ^= 1;
-        assert!(decode(&bytes).is_err());
+        for (at, wrong) in [(8, 99), (0, bytes[0] ^ 1), (4, bytes[4] + 1)] {
+            let mut bytes = bytes.clone();
+            bytes[at] = wrong;
+            assert!(decode(&bytes).is_err(), "byte {at}");
+        }
+    }
+
+    #[test]
+    fn reports_and_orders_survive_the_trip_and_any_cut_of_them_is_refused() {
+        let sender = Sender { node: 1, incarnation: 7 };
+        let id = TaskId { uid: Uid(412), task: 3 };
+        let report = Report {
+            machine: "m-000231".into(),
+            address: "10.1.0.232:9000".into(),
+            machine_type: "g8".into(),
+            zone: "a".into(),
+            spot: true,
+            session: 2,
+            seq: 88,
+            token: 41,
+            notice_s: Some(12.5),
+            tasks: (0..9)
+                .map(|code| ReportedTask { id, attempt: 5, status: status_of(code).unwrap() })
+                .collect(),
+        };
+        assert!(carries(&report));
+        let bytes = encode(sender, 1, &Payload::Report { id: 9, stamp: 11, report: report.clone() });
+        let Payload::Report { id: 9, stamp: 11, report: back } = decode(&bytes).unwrap().3 else { panic!() };
+        assert_eq!(format!("{back:?}"), format!("{report:?}"));
+        let orders = vec![
+            Order::Start { id, attempt: 6 },
+            Order::Stop { id, attempt: 5, grace_s: 4.5 },
+            Order::Forget { id, attempt: 4 },
+        ];
+        let reply = Payload::Reply { id: 9, token: Some(41), keep: true, orders: orders.clone() };
+        let reply = encode(sender, 2, &reply);
+        let Payload::Reply { id: 9, token: Some(41), keep: true, orders: back } = decode(&reply).unwrap().3
+        else {
+            panic!()
+        };
+        assert_eq!(back, orders);
+        let heard = Payload::Heard { id: 3, stamp: 4, machines: vec!["m-1".into(), "m-22".into()] };
+        let heard = encode(sender, 3, &heard);
+        assert!(matches!(decode(&heard).unwrap().3, Payload::Heard { machines, .. } if machines.len() == 2));
+        // A frame whose head promises less than its body holds is refused as well as a short one.
+        for whole in [bytes, reply, heard] {
+            for cut in size_of::<Head>()..whole.len() {
+                let mut part = whole[..cut].to_vec();
+                let length = (cut - size_of::<Head>()) as u32;
+                part[4..8].copy_from_slice(&length.to_le_bytes());
+                let shorter = decode(&part);
+                let fewer = matches!(
+                    &shorter,
+                    Ok((.., Payload::Reply { orders, .. })) if orders.len() < 3
+                ) || matches!(
+                    &shorter,
+                    Ok((.., Payload::Heard { machines, .. })) if machines.len() < 2
+                );
+                assert!(shorter.is_err() || fewer, "cut at {cut}");
+            }
+        }
     }
 }
--- a/src/server.rs
+++ b/src/server.rs
@@ -1,8 +1,9 @@
 //! Wires everything up: the queue of events into leadership and core, their effects out.
 
 use crate::api::{self, Api, Summary, Types};
+use crate::blocks::Block;
 use crate::cloud::{self, Cloud};
-use crate::core::model::Uid;
+use crate::core::model::{Report, Uid};
 use crate::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob, StoredMachine};
 use crate::http::{wall_ms, Clock, Http};
 use crate::leadership::{Action, Leadership, Status, StoreAnswer};
@@ -48,6 +49,20 @@
     pub core: Option<crate::core::overview::Overview>,
 }
 
+/// Where the answer to a check-in goes.
+enum ReplyTo {
+    Worker(oneshot::Sender<CheckinReply>),
+    /// To the holder that passed it on, under its number.
+    Holder(usize, u64),
+}
+
+/// A report on its way to the leader.
+struct PassedOn {
+    to: oneshot::Sender<CheckinReply>,
+    report: Report,
+    sent: u64,
+}
+
 pub enum Event {
     Overview(oneshot::Sender<NodeView>),
     Checkin(Checkin, oneshot::Sender<CheckinReply>),
@@ -144,6 +159,10 @@
             cpu_share: deployment.resources.cpu,
             write_rps: deployment.state.write_rps,
             record_machines: limits::record_machines(deployment.state.value_kb),
+            block_lease: match settings.members.len() {
+                0 => 0,
+                _ => limits::block_lease(deployment.workers.report_s),
+            },
         },
         settings,
         clock,
@@ -158,6 +177,8 @@
         entry: 0,
         replies: BTreeMap::new(),
         next_reply: 0,
+        block: Block::default(),
+        passed_on: BTreeMap::new(),
         leading: Vec::new(),
         cloud_queue: None,
         summary: summary_to,
@@ -237,8 +258,11 @@
     core: Option<Core>,
     /// Version of the epoch that every transaction of this leader rests on.
     entry: u64,
-    replies: BTreeMap<u64, oneshot::Sender<CheckinReply>>,
+    replies: BTreeMap<u64, ReplyTo>,
     next_reply: u64,
+    /// The workers that report here while another node leads.
+    block: Block,
+    passed_on: BTreeMap<u64, PassedOn>,
     /// Tasks that only run while this node leads.
     leading: Vec<JoinHandle<()>>,
     cloud_queue: Option<mpsc::UnboundedSender<CloudRequest>>,
@@ -304,6 +328,9 @@
                         self.summary.send_replace(Arc::new(lines));
                     }
                 }
+                Event::Peer(Received { from, payload }) => {
+                    self.block_frame(now, from, payload, &mut commands)
+                }
                 Event::Store(answer) => {
                     let actions = self.leadership.store(now, answer);
                     self.act(actions);
@@ -327,6 +354,106 @@
             self.checkin(now, checkin, to, &mut commands);
         }
         self.step(now, commands);
+        self.keep_block(now);
+    }
+
+    // ---- blocks ----
+
+    fn send(&self, node: usize, payload: Payload) -> bool {
+        // A full queue means a peer that does not answer; later frames make up for this one.
+        self.outgoing.get(node).is_some_and(|to| to.as_ref().is_some_and(|to| to.try_send(payload).is_ok()))
+    }
+
+    /// A frame of the leader's to a holder, or of a holder's to the leader.
+    fn block_frame(&mut self, now: u64, from: usize, payload: Payload, commands: &mut Vec<Command>) {
+        let leads = self.leadership.authority(now).is_some() && self.core.is_some();
+        // Stamps of other leaders' heartbeats lie outside every window: clocks start at random points.
+        let fresh = |stamp: u64| stamp <= now && now < stamp + limits::RELAY_FRESH;
+        match payload {
+            Payload::Report { id, stamp, report } => {
+                if !leads || !fresh(stamp) {
+                    // A caretaker keeps workers alive whichever way they come.
+                    let token = self.leadership.caretaker(now);
+                    self.send(from, Payload::Reply { id, token, keep: false, orders: Vec::new() });
+                    return;
+                }
+                self.checkins.push_back(now);
+                self.next_reply += 1;
+                self.replies.insert(self.next_reply, ReplyTo::Holder(from, id));
+                commands.push(Command::Checkin { reply: self.next_reply, report, via: Some(from) });
+            }
+            Payload::Heard { id, stamp, machines } if leads && fresh(stamp) => {
+                self.checkins.push_back(now);
+                commands.push(Command::Heard { node: from, machines });
+                self.send(from, Payload::Confirmed { id });
+            }
+            Payload::Reply { id, token, keep, orders } => {
+                let Some(PassedOn { to, report, sent }) = self.passed_on.remove(&id) else { return };
+                let reply = match token {
+                    Some(helm) => {
+                        let lease = keep.then_some(self.config.block_lease);
+                        self.block.leased(report, helm, sent, lease);
+                        let signals = orders.iter().map(worker::signal).collect();
+                        CheckinReply::Orders(CheckinAnswer { helm, signals })
+                    }
+                    None => CheckinReply::Elsewhere(None),
+                };
+                let _ = to.send(reply);
+            }
+            Payload::Wake(machines) => self.block.wake(&machines),
+            Payload::Confirmed { id } => self.block.confirmed(id, self.config.block_lease),
+            _ => {}
+        }
+    }
+
+    /// What a holder does as time passes: tells the leader whom it answered, and gives up waiting for it.
+    fn keep_block(&mut self, now: u64) {
+        let followed = self.leadership.followed(now);
+        if let Some((leader, token, stamp)) = followed {
+            self.block.follow(token);
+            if let Some((id, machines)) = self.block.tell(now) {
+                self.send(leader, Payload::Heard { id, stamp, machines });
+            }
+        }
+        while let Some(entry) = self.passed_on.first_entry() {
+            if now < entry.get().sent + limits::RELAY_PATIENCE {
+                return;
+            }
+            let PassedOn { to, report, .. } = entry.remove();
+            let reply = match self.block.answers(now, &report, false) {
+                Some(helm) => CheckinReply::Orders(CheckinAnswer { helm, signals: Vec::new() }),
+                None => CheckinReply::Elsewhere(None),
+            };
+            let _ = to.send(reply);
+        }
+    }
+
+    /// A check-in at a node that does not lead: answered by itself, passed on, or sent elsewhere.
+    fn hold(&mut self, now: u64, report: Report, to: oneshot::Sender<CheckinReply>) {
+        let followed = self.leadership.followed(now);
+        if let Some((_, token, _)) = followed {
+            self.block.follow(token);
+        }
+        if let Some(helm) = self.block.answers(now, &report, followed.is_some()) {
+            let _ = to.send(CheckinReply::Orders(CheckinAnswer { helm, signals: Vec::new() }));
+            return;
+        }
+        if let Some((leader, token, stamp)) = followed {
+            if report.token <= token && peer::carries(&report) {
+                self.next_reply += 1;
+                let id = self.next_reply;
+                if self.send(leader, Payload::Report { id, stamp, report: report.clone() }) {
+                    self.passed_on.insert(id, PassedOn { to, report, sent: now });
+                    return;
+                }
+            }
+        }
+        // A node that has forgotten everything learns the last token from the workers.
+        let actions = self.leadership.seen_token(report.token, now);
+        self.act(actions);
+        let leader = self.leadership.leader_name(now).map(str::to_string);
+        debug!(machine = report.machine, leader, "check-in sent elsewhere");
+        let _ = to.send(CheckinReply::Elsewhere(leader));
     }
 
     fn judge_health(&mut self, now: u64) {
@@ -358,17 +485,12 @@
                     let _ = to.send(CheckinReply::Orders(CheckinAnswer { helm, signals: Vec::new() }));
                     return;
                 }
-                // A node that has forgotten everything learns the last token from the workers.
-                let actions = self.leadership.seen_token(report.token, now);
-                self.act(actions);
-                let leader = self.leadership.leader_name(now).map(str::to_string);
-                debug!(machine = report.machine, leader, "check-in sent elsewhere");
-                CheckinReply::Elsewhere(leader)
+                return self.hold(now, report, to);
             }
             (true, Some(report)) => {
                 self.next_reply += 1;
-                self.replies.insert(self.next_reply, to);
-                commands.push(Command::Checkin { reply: self.next_reply, report });
+                self.replies.insert(self.next_reply, ReplyTo::Worker(to));
+                commands.push(Command::Checkin { reply: self.next_reply, report, via: None });
                 return;
             }
         };
@@ -379,6 +501,8 @@
     fn step(&mut self, now: u64, commands: Vec<Command>) {
         let Some(core) = &mut self.core else { return };
         core.kept_alive_until(self.leadership.alone_until(now));
+        let heard = self.leadership.heard(now);
+        core.unheard_nodes = (0..heard.len()).filter(|node| !heard[*node]).collect();
         let effects = core.step(now, commands);
         if now >= self.summary_due {
             self.summary_due = now + limits::SECOND;
@@ -495,7 +619,14 @@
         }
         self.config.token = 0;
         for (_, to) in std::mem::take(&mut self.replies) {
-            let _ = to.send(CheckinReply::Elsewhere(None));
+            match to {
+                ReplyTo::Worker(to) => {
+                    let _ = to.send(CheckinReply::Elsewhere(None));
+                }
+                ReplyTo::Holder(node, id) => {
+                    self.send(node, Payload::Reply { id, token: None, keep: false, orders: Vec::new() });
+                }
+            }
         }
     }
 
@@ -516,7 +647,10 @@
         let store = self.store.clone();
         let leads = store::compare(store::EPOCH, self.entry);
         match effect {
-            Effect::Answer { reply, orders } => self.answer(reply, &orders),
+            Effect::Answer { reply, orders, keep } => self.answer(reply, orders, keep),
+            Effect::Wake { node, machine } => {
+                self.send(node, Payload::Wake(vec![machine]));
+            }
             Effect::Direct { machine, address, session, orders } => {
                 let Some(helm) = self.leadership.authority(self.clock.now()) else { return };
                 let signals = orders.iter().map(worker::signal).collect();
@@ -578,10 +712,18 @@
         }
     }
 
-    fn answer(&mut self, reply: u64, orders: &[Order]) {
+    fn answer(&mut self, reply: u64, orders: Vec<Order>, keep: bool) {
         let Some(to) = self.replies.remove(&reply) else { return };
         // Checked again at the last moment: the round may have taken long.
-        let reply = match self.leadership.authority(self.clock.now()) {
+        let token = self.leadership.authority(self.clock.now());
+        let to = match to {
+            ReplyTo::Worker(to) => to,
+            ReplyTo::Holder(node, id) => {
+                self.send(node, Payload::Reply { id, token, keep, orders });
+                return;
+            }
+        };
+        let reply = match token {
             Some(helm) => CheckinReply::Orders(CheckinAnswer {
                 helm,
                 signals: orders.iter().map(worker::signal).collect(),
--- a/tests/core_rules.rs
+++ b/tests/core_rules.rs
@@ -2,6 +2,7 @@
 //! lost, reports that arrive late, machines that die, changes of leader. The model keeps the truth and
 //! checks the protocol's rules against it after every step; virtual time, fixed seeds.
 
+use dockpier::blocks::Block;
 use dockpier::core::model::*;
 use dockpier::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob, StoredMachine};
 use dockpier::limits::{self, SECOND};
@@ -25,6 +26,7 @@
         cpu_share: 1.0,
         write_rps: 1000.0,
         record_machines: 3,
+        block_lease: limits::block_lease(1.0),
     }
 }
 
@@ -79,6 +81,10 @@
     cut_until: u64,
     /// Until then its reports arrive, but nothing reaches it.
     deaf_until: u64,
+    /// Until then it does not reach the leader.
+    leader_cut_until: u64,
+    /// The holder that it reports to; None: the leader.
+    via: Option<usize>,
     session: u64,
     seq: u64,
     token: u64,
@@ -88,6 +94,14 @@
     gone: BTreeSet<(TaskId, u64)>,
 }
 
+/// A controller that does not lead, and until when it and the leader do not hear one another.
+struct Holder {
+    block: Block,
+    cut_until: u64,
+}
+
+const HOLDERS: usize = 2;
+
 struct World {
     rng: SmallRng,
     now: u64,
@@ -95,6 +109,11 @@
     token: u64,
     gpus_max: f64,
     workers: BTreeMap<String, Worker>,
+    holders: Vec<Holder>,
+    /// Reports that holders passed on, by number: which worker's, when.
+    passed_on: BTreeMap<u64, (usize, Report, u64)>,
+    answered_by_holders: u64,
+    cloud_down_until: u64,
     specs: BTreeMap<Uid, JobSpec>,
     live: BTreeMap<Uid, (u64, BTreeSet<u32>)>,
     withdrawn: BTreeMap<Uid, u64>,
@@ -119,6 +138,10 @@
             token: 1,
             gpus_max,
             workers: BTreeMap::new(),
+            holders: (0..HOLDERS).map(|_| Holder { block: Block::default(), cut_until: 0 }).collect(),
+            passed_on: BTreeMap::new(),
+            answered_by_holders: 0,
+            cloud_down_until: 0,
             specs: BTreeMap::new(),
             live: BTreeMap::new(),
             withdrawn: BTreeMap::new(),
@@ -159,6 +182,7 @@
         self.core = Core::new(config(self.token, self.gpus_max), self.now);
         self.later.clear();
         self.replies.clear();
+        self.passed_on.clear();
         let jobs = self
             .live
             .iter()
@@ -181,6 +205,7 @@
         self.later = later;
         batch.extend(Vec::into_iter(due).map(|(_, c): (u64, Command)| c));
         self.run_workers(&mut batch);
+        self.run_holders(&mut batch);
         let effects = self.core.step(self.now, batch);
         for effect in effects {
             self.carry_out(effect);
@@ -241,6 +266,14 @@
                 let late = self.rng.random_range(SECOND..4 * limits::micros(LEASE_S));
                 self.held.push((now + late, report.clone()));
             }
+            if self.rng.random_bool(0.01) {
+                let via = self.rng.random_range(0..=HOLDERS);
+                worker.via = (via < HOLDERS).then_some(via);
+            }
+            let via = worker.via;
+            if via.is_none() && now < worker.leader_cut_until {
+                continue;
+            }
             if now < worker.cut_until {
                 // Held by the cut: it arrives late, and nobody waits for its answer.
                 self.held.push((worker.cut_until, report));
@@ -249,8 +282,26 @@
             } else {
                 let reply = (self.token << 40) | (self.entry << 20) | (self.replies.len() as u64 + 1);
                 self.entry += 1;
+                if let Some(node) = via {
+                    let holder = &mut self.holders[node];
+                    let cut = now < holder.cut_until;
+                    if let Some(token) = holder.block.answers(now, &report, !cut) {
+                        self.answered_by_holders += 1;
+                        if worker.token <= token && now >= worker.deaf_until {
+                            worker.token = token;
+                            worker.lease_until = now + limits::micros(LEASE_S);
+                        }
+                        continue;
+                    }
+                    if cut || report.token > self.token {
+                        // Sent elsewhere.
+                        worker.via = None;
+                        continue;
+                    }
+                    self.passed_on.insert(reply, (node, report.clone(), now));
+                }
                 self.replies.insert(reply, name.clone());
-                batch.push(Command::Checkin { reply, report });
+                batch.push(Command::Checkin { reply, report, via });
             }
         }
         let (due, held) = std::mem::take(&mut self.held).into_iter().partition(|(at, _)| *at <= now);
@@ -258,7 +309,25 @@
         for (_, report) in Vec::<(u64, Report)>::into_iter(due) {
             // The node that a copy comes to tells a leader by its token alone.
             if report.token <= self.token {
-                batch.push(Command::Checkin { reply: 0, report });
+                batch.push(Command::Checkin { reply: 0, report, via: None });
+            }
+        }
+    }
+
+    /// Holders follow the leader and tell it whom they answered, while they hear one another.
+    fn run_holders(&mut self, batch: &mut Vec<Command>) {
+        let (now, token) = (self.now, self.token);
+        for (node, holder) in self.holders.iter_mut().enumerate() {
+            if now < holder.cut_until {
+                continue;
+            }
+            holder.block.follow(token);
+            if let Some((id, machines)) = holder.block.tell(now) {
+                batch.push(Command::Heard { node, machines });
+                // The confirmation may be lost; the lease then simply ends earlier here.
+                if self.rng.random_bool(0.9) {
+                    holder.block.confirmed(id, limits::block_lease(1.0));
+                }
             }
         }
     }
@@ -266,8 +335,16 @@
     fn carry_out(&mut self, effect: Effect) {
         let soon = self.now + self.rng.random_range(1..3) * STEP;
         match effect {
-            Effect::Answer { reply, orders } => {
+            Effect::Answer { reply, orders, keep } => {
                 let Some(name) = self.replies.remove(&reply) else { return };
+                if let Some((node, report, sent)) = self.passed_on.remove(&reply) {
+                    let holder = &mut self.holders[node];
+                    if self.now < holder.cut_until {
+                        return;
+                    }
+                    let lease = keep.then_some(limits::block_lease(1.0));
+                    holder.block.leased(report, self.token, sent, lease);
+                }
                 // Some answers are lost on their way.
                 if self.rng.random_bool(0.05) {
                     return;
@@ -331,6 +408,8 @@
                         dead: false,
                         cut_until: 0,
                         deaf_until: 0,
+                        leader_cut_until: 0,
+                        via: [None, Some(0), Some(1)][self.machines_made as usize % 3],
                         session: 1,
                         seq: 0,
                         token: 0,
@@ -345,12 +424,20 @@
                 let outcome = if names.is_empty() { Outcome::Refused } else { Outcome::Done };
                 self.later.push((soon, Command::Rented { request, machines: Some(names), outcome }));
             }
+            Effect::Delete(machines) if self.now < self.cloud_down_until => {
+                self.later.push((soon, Command::Deleted { machines, outcome: Outcome::Unknown }));
+            }
             Effect::Delete(machines) => {
                 machines.iter().for_each(|name| {
                     self.workers.remove(name);
                 });
                 self.later.push((soon, Command::Deleted { machines, outcome: Outcome::Done }));
             }
+            Effect::Wake { node, machine } => {
+                if self.now >= self.holders[node].cut_until {
+                    self.holders[node].block.wake(&[machine]);
+                }
+            }
             Effect::Deposed(_) => panic!("nobody else leads"),
         }
     }
@@ -434,7 +521,7 @@
     fn trouble(&mut self) {
         let names: Vec<String> = self.workers.keys().cloned().collect();
         let pick = (!names.is_empty()).then(|| names[self.rng.random_range(0..names.len())].clone());
-        let kind = self.rng.random_range(0..6);
+        let kind = self.rng.random_range(0..9);
         let cut = self.now + self.rng.random_range(1..25) * SECOND;
         let Some(worker) = pick.and_then(|name| self.workers.get_mut(&name)) else { return };
         match kind {
@@ -442,6 +529,27 @@
             1 => worker.cut_until = cut,
             2 => worker.deaf_until = cut,
             3 => self.change_leader(),
+            // A holder and its workers part from the leader, mostly while the cloud is down, so that only
+            // the end of leases proves anything.
+            5 | 7 | 8 => {
+                let node = self.rng.random_range(0..HOLDERS);
+                self.holders[node].cut_until = cut;
+                for worker in self.workers.values_mut().filter(|w| w.via == Some(node)) {
+                    worker.leader_cut_until = cut;
+                }
+                if kind > 5 {
+                    self.cloud_down_until = cut;
+                }
+                // The holder does not hear that another leads.
+                if kind == 8 {
+                    self.change_leader();
+                }
+            }
+            // A holder that ends has forgotten its block.
+            6 => {
+                let node = self.rng.random_range(0..HOLDERS);
+                self.holders[node].block = Block::default();
+            }
             4 => {
                 let live: Vec<Uid> = self.live.keys().copied().collect();
                 if !live.is_empty() {
@@ -481,6 +589,7 @@
     }
     let stuck: Vec<_> = world.live.keys().filter_map(|u| world.core.jobs.get(u)).collect();
     assert!(world.live.is_empty(), "seed {seed}: never done: {stuck:#?} {}", world.core.fleet_line());
+    assert!(world.answered_by_holders > 20, "seed {seed}: {}", world.answered_by_holders);
     assert!(world.starts > 20 && world.finished > 5, "seed {seed}: {} starts", world.starts);
 }
 
--- a/tests/elastic_model.rs
+++ b/tests/elastic_model.rs
@@ -64,6 +64,7 @@
             cpu_share: 1.0,
             write_rps: 1000.0,
             record_machines: 3,
+            block_lease: 0,
         };
         let mut bed = Bed {
             core: Core::new(config, SECOND),
@@ -127,7 +128,7 @@
                 notice_s: None,
                 tasks,
             };
-            for effect in self.step(vec![Command::Checkin { reply: 1, report }]) {
+            for effect in self.step(vec![Command::Checkin { reply: 1, report, via: None }]) {
                 let Effect::Answer { orders, .. } = effect else { continue };
                 let running = self.running.get_mut(&machine).unwrap();
                 for order in orders {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -63,6 +63,7 @@
             cpu_share: 0.2,
             write_rps: 1000.0,
             record_machines: 12,
+            block_lease: 0,
         };
         let machine_type = MachineType {
             name: "m".into(),
@@ -104,7 +105,7 @@
                     let outcome = Outcome::Refused;
                     more.push(Command::Rented { request, machines: None, outcome });
                 }
-                Effect::Answer { reply, orders } => self.carry_out(&name(reply as usize), orders),
+                Effect::Answer { reply, orders, .. } => self.carry_out(&name(reply as usize), orders),
                 _ => {}
             }
         }
@@ -162,7 +163,7 @@
             notice_s: None,
             tasks,
         };
-        Command::Checkin { reply: i as u64, report }
+        Command::Checkin { reply: i as u64, report, via: None }
     }
 
     fn submit(&mut self, spec: JobSpec) {
