Lost ways: a block that falls silent is not given up machine by machine; gangs under a team limit

Found by the plain model: a gang of which only a part fits its team's limit started in part, was stopped as incomplete, and kept another out, for ever.

--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -227,7 +227,9 @@
         // What only its wait for a beginning has earned is a beginning; more comes by its plain rank.
         let hurried = !leftover && job.spec.kind == Kind::Array && self.rank(job) > self.plain_rank(job);
         let want = if hurried { want.min(job.minimum()) } else { want };
-        if want == 0 {
+        // A gang within whose team's limit only a part of it fits would start in part, be stopped as
+        // incomplete, and keep others out with it, again and again.
+        if want == 0 || held + want < job.admission() {
             return self.wait(uid, "team limit");
         }
         let found = self.find(job, want, room, probes);
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -295,21 +295,22 @@
         let unsettled = |m: &&Machine| m.inherited && !m.settled && m.phase == Phase::Expected;
         let up: Vec<&Machine> =
             self.machines.values().filter(|m| m.phase == Phase::Up || unsettled(m)).collect();
-        // Workers of a holder that is gone hang there and at another node before they come.
-        let patience = |m: &Machine| {
-            let holder_gone = m.via.is_some_and(|node| self.unheard_nodes.contains(&node));
-            silent.max(if holder_gone { limits::COMES_LATE } else { 0 })
-        };
-        let quiet = |m: &&&Machine| now >= m.heard + patience(m) || m.unheard >= limits::UNHEARD_DEAF;
         let mut back = Vec::new();
         // By the way they report: many that fall silent together there have lost that way, not themselves.
         let ways: BTreeSet<Option<usize>> = up.iter().map(|m| m.via).collect();
         for way in ways {
             let here: Vec<&&Machine> = up.iter().filter(|m| m.via == way).collect();
+            let patience = if self.way_lost(way, &here) {
+                // Their holder may answer them for its lease, and they may hang at two nodes afterwards.
+                self.config.block_lease + limits::COMES_LATE
+            } else {
+                silent
+            };
+            let quiet = |m: &&Machine| now >= m.heard + patience || m.unheard >= limits::UNHEARD_DEAF;
             let silent_now: Vec<&&Machine> = here.iter().copied().filter(|m| quiet(m)).collect();
             let share = limits::SILENT_SHARE * here.len() as f64;
-            let lost_way = silent_now.len() > 2 && silent_now.len() as f64 > share;
-            if !lost_way && now >= self.started + silent.max(limits::COMES_LATE) {
+            let together = silent_now.len() > 2 && silent_now.len() as f64 > share;
+            if !together && now >= self.started + silent.max(limits::COMES_LATE) {
                 back.extend(silent_now.iter().filter(|m| !m.deleting).map(|m| m.name.clone()));
             }
         }
@@ -322,6 +323,19 @@
         self.delete(back, "lost, silent, deaf or never up");
     }
 
+    /// Whether reports have stopped coming this way: the first machines to be missed would otherwise be
+    /// given up one by one before the others are.
+    fn way_lost(&self, way: Option<usize>, machines: &[&&Machine]) -> bool {
+        let out_of_touch = way.and_then(|node| self.out_of_touch.get(&node));
+        if out_of_touch.is_some_and(|last| self.now < last + limits::COMES_LATE) {
+            return true;
+        }
+        let latest = machines.iter().map(|m| m.heard).max().unwrap_or(0);
+        let many = machines.len() as u64;
+        let interval = limits::micros(self.config.workers.report_s) / many.max(1);
+        many > 2 && self.now >= latest + limits::WAY_SILENT + 3 * interval
+    }
+
     fn delete(&mut self, names: Vec<String>, why: &str) {
         for chunk in names.chunks(limits::DELETE_MOST) {
             for name in chunk {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -222,8 +222,8 @@
     settled: bool,
     /// Until when somebody else may have kept workers alive under a token of the past.
     kept_alive: u64,
-    /// Nodes that are not heard: what reports through them may yet come another way.
-    pub unheard_nodes: BTreeSet<usize>,
+    /// When each holder was last out of touch: what reports through it may come another way for a while.
+    out_of_touch: BTreeMap<usize, u64>,
     effects: Vec<Effect>,
 }
 
@@ -255,7 +255,7 @@
             attempts: 0,
             settled: false,
             kept_alive: now + limits::lengthened(block_lease),
-            unheard_nodes: BTreeSet::new(),
+            out_of_touch: BTreeMap::new(),
             effects: Vec::new(),
         }
     }
@@ -265,6 +265,11 @@
         self.kept_alive = self.kept_alive.max(at);
     }
 
+    /// These nodes are out of touch now.
+    pub fn out_of_touch(&mut self, now: u64, nodes: impl Iterator<Item = usize>) {
+        self.out_of_touch.extend(nodes.map(|node| (node, now)));
+    }
+
     /// Takes a batch, decides within the budget, and says what is to be done.
     pub fn step(&mut self, now: u64, batch: Vec<Command>) -> Vec<Effect> {
         self.now = self.now.max(now);
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -376,7 +376,7 @@
             let Some(machine) = self.machines.get_mut(name) else { return (Vec::new(), false) };
             machine.answered = now;
             machine.woken = false;
-            machine.told_token = !machine.settled;
+            machine.told_token = machine.via.is_none() && !machine.settled;
             orders = Self::stop_orders(machine).collect();
             settled_and_recorded = machine.settled && machine.recorded;
         }
@@ -397,7 +397,10 @@
                     orders.push(Order::Start { id: *id, attempt: placed.attempt });
                 }
             }
-            machine.told.clone_from(&orders);
+            // What goes through a holder may be lost between it and us; that says nothing of the machine.
+            if machine.via.is_none() {
+                machine.told.clone_from(&orders);
+            }
         }
         let lease = self.config.block_lease;
         let Some(machine) = self.machines.get_mut(name) else { return (orders, false) };
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -289,9 +289,10 @@
         fresh.then_some((node, token, self.leader_stamp))
     }
 
-    /// Which nodes are heard; this one is.
-    pub fn heard(&self, now: u64) -> Vec<bool> {
-        (0..self.names.len()).map(|i| i == self.me || self.fresh(i, now)).collect()
+    /// Nodes that this leader is not in touch with both ways: their grants echo its heartbeats, so that a
+    /// node that is heard but does not hear us is among them.
+    pub fn out_of_touch(&self, now: u64) -> impl Iterator<Item = usize> + '_ {
+        self.others().filter(move |i| self.peers[*i].granted <= now)
     }
 
     /// Whether some peer reaches the state service.
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -66,6 +66,9 @@
 
 /// A holder tells the leader this often which machines it answered.
 pub const BLOCK_TELL: u64 = 1_000_000;
+/// A worker with news that no leader takes is sent to the other nodes once in this time: two of them, a
+/// second's pause each, and a hang at one.
+pub const BLOCK_RETRY: u64 = 8_000_000;
 /// Words to the leader without confirmation that are remembered.
 pub const BLOCK_UNCONFIRMED: usize = 8;
 /// Machines that one holder keeps: some 300 bytes each.
@@ -87,10 +90,10 @@
     (micros(lease_s) as f64 * (1.0 + DRIFT)) as u64 + LEASE_MARGIN
 }
 
-/// A machine that has not reported for this long gets no new tasks and is suspected.
-/// Reports come every `report_s` plus a quarter; a lost one costs a second more.
+/// A machine that has not reported for this long gets no new tasks and is suspected. Reports come every
+/// `report_s` plus a quarter; one that its holder could not pass on is followed by the next 2.5 s later.
 pub fn silent(report_s: f64) -> u64 {
-    micros(report_s * 2.0) + 2_500_000
+    micros(report_s * 1.25) + 3_250_000
 }
 
 /// Suspected machines are deleted ahead of the end of their lease only while at most this share (or
@@ -100,6 +103,9 @@
 /// Reports running without a trace of the answer before them, after which a machine is deaf: it gets no
 /// new tasks and is deleted. One lost answer is ordinary.
 pub const UNHEARD_DEAF: u32 = 2;
+/// No report at all through one node for this long, and for three times the mean interval between them,
+/// means that the way is lost: holders tell whom they answered once a second.
+pub const WAY_SILENT: u64 = 1_500_000;
 /// This many machines silent at the same time point to our own connection.
 pub const SILENT_TOGETHER: u32 = 3;
 /// After a change of leader, a machine may hang twice at nodes that do not answer (4 s and a pause of
--- a/src/server.rs
+++ b/src/server.rs
@@ -501,8 +501,7 @@
     fn step(&mut self, now: u64, commands: Vec<Command>) {
         let Some(core) = &mut self.core else { return };
         core.kept_alive_until(self.leadership.alone_until(now));
-        let heard = self.leadership.heard(now);
-        core.unheard_nodes = (0..heard.len()).filter(|node| !heard[*node]).collect();
+        core.out_of_touch(now, self.leadership.out_of_touch(now));
         let effects = core.step(now, commands);
         if now >= self.summary_due {
             self.summary_due = now + limits::SECOND;
