Users' writes are bounded at each node; peer frames refused are counted; bad records kept apart

Each node now spends at most half as much again as its part of what the leader leaves. A record of finished tasks that can't be read is logged by its key and skipped, no longer removed.

--- a/src/api.rs
+++ b/src/api.rs
@@ -118,9 +118,9 @@
     }
 
     /// A request to the state service for one user alone, within the node's share of its limit.
-    fn may_ask(&self) -> Result<(), Refusal> {
+    fn may_ask(&self, writes: u32) -> Result<(), Refusal> {
         let busy = || Refusal::Later("too many requests to the state service".into());
-        self.store.user_may_ask().then_some(()).ok_or_else(busy)
+        self.store.user_may_ask(writes).then_some(()).ok_or_else(busy)
     }
 
     fn remember(&self, uid: Uid, state: &JobState) {
@@ -159,7 +159,7 @@
         }
         let live = self.live.contains(uid).await.ok_or_else(|| Refusal::Later("too many polls".into()))?;
         if !live.map_err(|e| Refusal::Later(format!("state service: {e}")))? {
-            self.may_ask()?;
+            self.may_ask(0)?;
             return Ok(self.read_over(uid).await?);
         }
         let (done, running) = self.summary.borrow().get(&uid).copied().unwrap_or((0, 0));
@@ -207,7 +207,7 @@
         if let Some(why) = never {
             return Err(Refusal::Never(why));
         }
-        self.may_ask()?;
+        self.may_ask(1)?;
         let (live, over) = (store::live(job.uid), store::over(job.uid));
         let record = LiveRecord { submission, accepted_ms: wall_ms() };
         let record = store::write(&live, &record).map_err(|e| Refusal::Malformed(e.to_string()))?;
@@ -248,7 +248,7 @@
             return Ok(json(StatusCode::OK, &state));
         }
         let _turn = self.admit()?;
-        self.may_ask()?;
+        self.may_ask(2)?;
         let (live, over) = (store::live(uid), store::over(uid));
         let Some((value, entry)) = self.store.get(&live, limits::POLL_TIMEOUT).await? else {
             let state = self.read_over(uid).await?.ok_or(Refusal::NoSuchJob)?;
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -272,3 +272,10 @@
 pub const IDLE_CONNECTION: Duration = Duration::from_secs(60);
 /// Share of the state service's request limit that one node spends on users' requests.
 pub const USER_STATE_SHARE: f64 = 0.3;
+
+/// Puts and deletes a second that one node spends on users' requests: half as much again as its part of
+/// what the leader leaves, since users are not spread evenly. Without a bound a burst of submissions kept
+/// the transaction of a takeover out for 8 s.
+pub fn user_writes(write_rps: f64, nodes: usize) -> f64 {
+    1.5 * write_rps * (1.0 - LEADER_WRITE_SHARE) / nodes.max(1) as f64
+}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -5,6 +5,7 @@
 use crate::leadership::{Message, Status};
 use crate::limits;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -460,13 +461,21 @@
 /// Accepts the peers' connections and passes on what arrives.
 pub async fn listen(listener: TcpListener, nodes: usize, me: usize, to: mpsc::Sender<Received>) {
     let latest = Latest::default();
+    let refused = std::sync::Arc::new(AtomicU64::new(0));
     let mut connection = 0;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 connection += 1;
                 let _ = stream.set_nodelay(true);
-                tokio::spawn(receive(stream, connection, nodes, me, latest.clone(), to.clone()));
+                let (latest, refused, to) = (latest.clone(), refused.clone(), to.clone());
+                tokio::spawn(async move {
+                    // A frame that can't be read says that its connection can't be relied on.
+                    if let Err(why) = receive(stream, connection, nodes, me, latest, to).await {
+                        let count = refused.fetch_add(1, Ordering::Relaxed) + 1;
+                        warn!(why, count, "malformed frame: connection dropped");
+                    }
+                });
             }
             Err(error) => {
                 // Out of sockets, most likely: wait for some to be freed.
@@ -484,40 +493,35 @@
     me: usize,
     latest: Latest,
     to: mpsc::Sender<Received>,
-) {
+) -> Result<(), &'static str> {
     let mut stream = BufReader::new(stream);
     let mut bytes = vec![0; size_of::<Head>()];
     loop {
         bytes.resize(size_of::<Head>(), 0);
         if stream.read_exact(&mut bytes).await.is_err() {
-            return;
+            return Ok(());
         }
-        let more = match following(&bytes) {
-            Ok(more) => more,
-            Err(why) => return warn!(why, "malformed frame: connection dropped"),
-        };
+        let more = following(&bytes)?;
         bytes.resize(size_of::<Head>() + more, 0);
         if stream.read_exact(&mut bytes[size_of::<Head>()..]).await.is_err() {
-            return;
+            return Ok(());
         }
-        let (from, incarnation, _, payload) = match decode(&bytes) {
-            Ok(frame) => frame,
-            Err(why) => return warn!(why, "malformed frame: connection dropped"),
-        };
+        let (from, incarnation, _, payload) = decode(&bytes)?;
         if from >= nodes || from == me {
-            return warn!(from, "frame from nobody: connection dropped");
+            return Err("from nobody");
         }
         if let Ok(mut latest) = latest.lock() {
             let known = latest.entry(from).or_insert((incarnation, connection));
             // A later connection is from the later incarnation; bytes that a cut held back from an
             // earlier one may still arrive and must do nothing.
             if connection < known.1 && incarnation != known.0 {
-                return debug!(from, "frame of an earlier incarnation: connection dropped");
+                debug!(from, "frame of an earlier incarnation: connection dropped");
+                return Ok(());
             }
             *known = (incarnation, connection.max(known.1));
         }
         if to.send(Received { from, payload }).await.is_err() {
-            return;
+            return Ok(());
         }
     }
 }
--- a/src/server.rs
+++ b/src/server.rs
@@ -99,7 +99,13 @@
     let clock = Clock::start();
     let http = Http::new()?;
     let deployment = settings.deployment.clone();
-    let store = Store::new(http.clone(), settings.external.state, clock, deployment.state.rps);
+    let store = Store::new(
+        http.clone(),
+        settings.external.state,
+        clock,
+        &deployment.state,
+        settings.members.len() + 1,
+    );
     let cloud = Cloud::new(http.clone(), settings.external.cloud);
     let (events, queue) = mpsc::channel(limits::QUEUE);
     let (types_to, types) = watch::channel(Types::default());
@@ -828,12 +834,14 @@
         let mut parts = record.path.split('/').skip(1);
         let uid = parts.next().and_then(Uid::parse);
         let chunk = parts.next().and_then(|c| c.parse::<u32>().ok());
-        let (Some(job), Some(chunk), Some(bits)) =
-            (uid.and_then(|uid| jobs.get_mut(&uid)), chunk, record.value.as_str())
-        else {
+        let Some(job) = uid.and_then(|uid| jobs.get_mut(&uid)) else {
             orphans.push(record.path);
             continue;
         };
+        let (Some(chunk), Some(bits)) = (chunk, record.value.as_str()) else {
+            warn!(key = record.path, "unreadable record of finished tasks: skipped");
+            continue;
+        };
         let tasks = job.spec.tasks;
         job.done.extend(
             decode_bits(bits).map(|t| t + chunk.saturating_mul(limits::DONE_CHUNK)).filter(|t| *t < tasks),
--- a/src/store.rs
+++ b/src/store.rs
@@ -2,6 +2,7 @@
 
 use crate::http::{Answer, CallError, Clock, Http};
 use crate::limits;
+use crate::settings::StateLimits;
 use crate::wire::{Change, Compare, Epoch, Follow, Ledger, Page, Permit, Record, Transaction};
 use reqwest::Method;
 use serde::Deserialize;
@@ -44,13 +45,18 @@
 }
 
 impl Budget {
-    fn take(&mut self, now: u64) -> bool {
+    fn new(rate: f64, burst_s: f64, now: u64) -> Self {
+        let most = (rate * burst_s).max(2.0);
+        Budget { rate, most, tokens: most, at: now }
+    }
+
+    fn take(&mut self, now: u64, count: f64) -> bool {
         let passed = now.saturating_sub(self.at) as f64 / limits::SECOND as f64;
         self.at = now;
         self.tokens = (self.tokens + passed * self.rate).min(self.most);
-        let enough = self.tokens >= 1.0;
+        let enough = self.tokens >= count;
         if enough {
-            self.tokens -= 1.0;
+            self.tokens -= count;
         }
         enough
     }
@@ -62,7 +68,8 @@
     base: String,
     clock: Clock,
     answered: Arc<AtomicU64>,
-    users: Arc<Mutex<Budget>>,
+    /// What users' requests of this node may ask of the service: requests, and puts and deletes.
+    users: Arc<Mutex<(Budget, Budget)>>,
 }
 
 #[derive(Deserialize)]
@@ -88,15 +95,22 @@
 }
 
 impl Store {
-    pub fn new(http: Http, address: std::net::SocketAddr, clock: Clock, rps: f64) -> Self {
-        let rate = rps * limits::USER_STATE_SHARE;
-        let budget = Budget { rate, most: rate.max(1.0), tokens: rate.max(1.0), at: clock.now() };
+    pub fn new(
+        http: Http,
+        address: std::net::SocketAddr,
+        clock: Clock,
+        limits: &StateLimits,
+        nodes: usize,
+    ) -> Self {
+        let now = clock.now();
+        let requests = Budget::new(limits.rps * crate::limits::USER_STATE_SHARE, 1.0, now);
+        let writes = Budget::new(crate::limits::user_writes(limits.write_rps, nodes), 2.0, now);
         Store {
             http,
             base: format!("http://{address}"),
             clock,
             answered: Arc::new(AtomicU64::new(0)),
-            users: Arc::new(Mutex::new(budget)),
+            users: Arc::new(Mutex::new((requests, writes))),
         }
     }
 
@@ -105,10 +119,12 @@
         self.answered.load(Ordering::Relaxed)
     }
 
-    /// Whether users' requests of this node may ask once more now.
-    pub fn user_may_ask(&self) -> bool {
+    /// Whether a user's request of this node may ask once more now, with so many puts and deletes.
+    pub fn user_may_ask(&self, writes: u32) -> bool {
         let now = self.clock.now();
-        self.users.lock().map(|mut b| b.take(now)).unwrap_or(true)
+        let Ok(mut budgets) = self.users.lock() else { return true };
+        let (requests, puts) = &mut *budgets;
+        (writes == 0 || puts.take(now, f64::from(writes))) && requests.take(now, 1.0)
     }
 
     async fn call(
