--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -232,7 +232,8 @@
         if want == 0 || held + want < job.admission() {
             return self.wait(uid, "team limit");
         }
-        let found = self.find(job, want, room, probes);
+        let patient = self.now < job.arrived.max(job.rescaled) + limits::FETCH_PATIENCE;
+        let found = self.find(job, want, patient, room, probes);
         if !found.is_empty() && held + found.len() as u32 >= job.admission().min(held + want) {
             if found.len() as u32 + running > job.width {
                 let now = self.now;
@@ -268,8 +269,9 @@
 
     /// Machines for up to `want` tasks of the job, the best ones first; an entry per task. A machine
     /// that is best stays best until it is full, since each task only makes it fuller; so the candidates
-    /// are weighed once, and the zones are compared by their best ones.
-    fn find(&self, job: &Job, want: u32, room: &Room, probes: &mut usize) -> Vec<String> {
+    /// are weighed once, and the zones are compared by their best ones. `now`: only places where its image
+    /// is, or can be fetched at once.
+    fn find(&self, job: &Job, want: u32, now: bool, room: &Room, probes: &mut usize) -> Vec<String> {
         *probes += room.free.len();
         let mut zones = ZoneCount::of(job, &self.machines);
         let pinned = if job.spec.one_zone && job.places.is_empty() {
@@ -293,6 +295,11 @@
                 continue;
             }
             let (base, emptiness) = place::cost(job, machine, free);
+            // Images that are fetched at the same time share the rate: one after the other, the first is
+            // there sooner and the last no later.
+            if now && base[1] > 1 {
+                continue;
+            }
             let candidate = Candidate { base, emptiness, machine, free: *free };
             by_zone.entry(&machine.zone).or_default().push(candidate);
         }
@@ -359,12 +366,12 @@
         let needs = job.spec.needs;
         // Room that stops under way will free counts as found, so that nobody shrinks twice for it.
         let soon = room.soon(&self.machines);
-        let coming =
-            if room.pending.is_empty() { Vec::new() } else { self.find(job, missing, &soon, probes) };
+        // So does room whose machine is fetching for somebody else.
+        let coming = self.find(job, missing, false, &soon, probes);
         if coming.len() as u32 >= missing {
             // Hold the room for this job: nobody later in the round may take it.
             coming.iter().filter_map(|m| self.machines.get(m)).for_each(|m| room.take(m, &needs));
-            self.wait(uid, "stops under way");
+            self.wait(uid, "stops or a fetch under way");
             return true;
         }
         let may_any = room.lowest.is_some_and(|lowest| lowest < job.spec.priority)
@@ -383,7 +390,7 @@
         let chosen = stages.iter().find_map(|(gap, minimum)| {
             let mut soon = soon.clone();
             let stops = self.victims(job, missing, order, &mut soon, (*gap, *minimum), probes);
-            let targets = self.find(job, missing, &soon, probes);
+            let targets = self.find(job, missing, false, &soon, probes);
             (targets.len() as u32 >= missing).then_some((stops, targets))
         });
         let Some((mut stops, targets)) = chosen else {
@@ -446,7 +453,7 @@
                 let free = soon.free.entry(name.to_string()).or_insert_with(|| machine.free());
                 *free = free.plus(&victim.spec.needs);
                 stops.push((name.to_string(), id));
-                if self.find(job, missing, soon, probes).len() as u32 >= missing {
+                if self.find(job, missing, false, soon, probes).len() as u32 >= missing {
                     return stops;
                 }
             }
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -144,6 +144,9 @@
 pub const BEGIN_AGING: u64 = 30_000_000;
 /// A round without news runs this often, for gaps and ages that have run out.
 pub const ROUND_IDLE: u64 = 500_000;
+/// A job waits this long for machines that are fetching other images; then it shares their rate, so that a
+/// fetch that hangs keeps nobody out.
+pub const FETCH_PATIENCE: u64 = 40_000_000;
 /// Room of a stop that is not confirmed this long after its grace is not counted on any more.
 pub const STOP_PATIENCE: u64 = 4_000_000;
 /// Errors of different jobs on one machine after which it is replaced.
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -43,6 +43,8 @@
     deaf: BTreeSet<String>,
     deleted: BTreeSet<String>,
     rented: u32,
+    /// Tasks never get past their fetch.
+    fetching: bool,
     /// The holder that all reports come through.
     via: Option<usize>,
 }
@@ -84,6 +86,7 @@
             deaf: BTreeSet::new(),
             deleted: BTreeSet::new(),
             rented: 0,
+            fetching: false,
             via: None,
         };
         fleet.step(vec![Command::Types(vec![machine_type]), Command::Load { jobs: vec![], records: vec![] }]);
@@ -150,9 +153,8 @@
     fn checkin(&self, i: usize) -> Command {
         let machine = name(i);
         let tasks = self.running.get(&machine).into_iter().flatten();
-        let tasks = tasks
-            .map(|(id, attempt)| ReportedTask { id: *id, attempt: *attempt, status: TaskStatus::Running })
-            .collect();
+        let status = if self.fetching { TaskStatus::Fetching } else { TaskStatus::Running };
+        let tasks = tasks.map(|(id, attempt)| ReportedTask { id: *id, attempt: *attempt, status }).collect();
         let report = Report {
             machine,
             address: String::new(),
@@ -349,3 +351,18 @@
         assert!(waited.is_some_and(|s| s < 240), "stream of {stream:?}: began after {waited:?} s");
     }
 }
+
+/// Four images fetched together on one machine were all there after four fetches; one after the other, the
+/// first is there after one. A fetch that hangs must keep nobody out for ever.
+#[test]
+fn a_machine_fetches_one_image_at_a_time_for_a_while() {
+    let mut fleet = Fleet::new(1);
+    fleet.fetching = true;
+    // Different images: `spec` names them by the job's number.
+    (1..4).for_each(|uid| fleet.submit(spec(uid, Kind::Array, Priority::Normal, 1)));
+    (0..3).for_each(|_| fleet.report());
+    let running = |fleet: &Fleet| (1..4).map(|uid| fleet.width(uid)).sum::<usize>();
+    assert_eq!(running(&fleet), 1);
+    (0..12).for_each(|_| fleet.report());
+    assert_eq!(running(&fleet), 3);
+}
