Machines that do not come after a takeover are judged against all that do

Cause: machines of the last leader's that had not come were judged beside those that report to the leader itself, a third of the fleet or fewer since there are blocks; a few dead ones seemed too many to be their own fault, and inherited work would have waited for the end of their leases (found in review; test: machines_that_do_not_come_are_judged_against_all_that_do). Now against all that report, whichever way.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -293,9 +293,15 @@
         // A machine of the last leader's that does not come to this one counts too: while it may hold
         // anything, no task of an inherited job starts.
         let unsettled = |m: &&Machine| m.inherited && !m.settled && m.phase == Phase::Expected;
-        let up: Vec<&Machine> =
-            self.machines.values().filter(|m| m.phase == Phase::Up || unsettled(m)).collect();
+        let up: Vec<&Machine> = self.machines.values().filter(|m| m.phase == Phase::Up).collect();
+        let missing: Vec<&Machine> = self.machines.values().filter(unsettled).collect();
         let mut back = Vec::new();
+        let early = now < self.started + silent.max(limits::COMES_LATE);
+        // Those that have not come have no way yet: they are judged against all that have.
+        let share = limits::SILENT_SHARE * (up.len() + missing.len()) as f64;
+        if !early && (missing.len() <= 2 || missing.len() as f64 <= share) {
+            back.extend(missing.iter().filter(|m| !m.deleting).map(|m| m.name.clone()));
+        }
         // By the way they report: many that fall silent together there have lost that way, not themselves.
         let ways: BTreeSet<Option<usize>> = up.iter().map(|m| m.via).collect();
         for way in ways {
@@ -310,7 +316,7 @@
             let silent_now: Vec<&&Machine> = here.iter().copied().filter(|m| quiet(m)).collect();
             let share = limits::SILENT_SHARE * here.len() as f64;
             let together = silent_now.len() > 2 && silent_now.len() as f64 > share;
-            if !together && now >= self.started + silent.max(limits::COMES_LATE) {
+            if !together && !early {
                 back.extend(silent_now.iter().filter(|m| !m.deleting).map(|m| m.name.clone()));
             }
         }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -366,3 +366,25 @@
     (0..12).for_each(|_| fleet.report());
     assert_eq!(running(&fleet), 3);
 }
+
+/// After a takeover the machines that do not come were judged beside the few that report to the leader
+/// itself, and seemed too many to be their own fault: inherited work waited for the end of their leases.
+#[test]
+fn machines_that_do_not_come_are_judged_against_all_that_do() {
+    let known = |i: usize| dockpier::core::StoredMachine {
+        name: name(i),
+        machine_type: "m".into(),
+        zone: ["a", "b"][i % 2].into(),
+        spot: false,
+        address: String::new(),
+        images: BTreeSet::new(),
+    };
+    let mut fleet = Fleet::new(0);
+    fleet.core = Core::new(fleet.core.config.clone(), fleet.now);
+    let records = vec![("1-1".to_string(), (0..16).map(known).collect())];
+    fleet.step(vec![Command::Load { jobs: vec![], records }]);
+    // Four of sixteen are dead, and all the others report to a holder.
+    (fleet.machines, fleet.via, fleet.seq) = (12, Some(1), 0);
+    (0..4).for_each(|_| fleet.report());
+    assert_eq!(fleet.deleted, (12..16).map(name).collect());
+}
