After a reading: an unread setting out, a plan's probes counted whole, one test job for two files

`resources.max_sockets` was parsed and read by nobody. The probes of a plan that came to its end were left out of the count that tests bound. The job of the core's tests stood in two files.

--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -75,9 +75,8 @@
     }
 
     fn plain_rank(&self, job: &Job) -> u64 {
-        let class = job.spec.priority as u64 * 1000;
         if job.spec.priority == Priority::Critical {
-            return class;
+            return Priority::Critical as u64 * 1000;
         }
         let age = self.now.saturating_sub(job.arrived);
         let aging = limits::micros(self.config.operator.aging_s).max(1);
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -114,6 +114,7 @@
         let mut probes = 0;
         while probes < self.config.round_probes {
             let Some(uid) = plan.queue.next() else {
+                self.probes += probes as u64;
                 self.carry_out_plan(plan);
                 return true;
             };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -58,12 +58,11 @@
 pub struct Machine {
     /// Share of one processor core.
     pub cpu: f64,
-    pub max_sockets: usize,
 }
 
 impl Default for Machine {
     fn default() -> Self {
-        Machine { cpu: 1.0, max_sockets: 1024 }
+        Machine { cpu: 1.0 }
     }
 }
 
--- a/tests/elastic_model.rs
+++ b/tests/elastic_model.rs
@@ -1,5 +1,8 @@
 //! The elastic pass against a slow plain model of DESIGN's text, on equal one-task machines.
 
+mod common;
+
+use common::spec;
 use dockpier::core::model::*;
 use dockpier::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob, StoredMachine};
 use dockpier::limits::{self, SECOND};
@@ -7,29 +10,6 @@
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 
-fn spec(uid: u64, kind: Kind, priority: Priority, tasks: u32) -> JobSpec {
-    JobSpec {
-        uid: Uid(uid),
-        class: "c".into(),
-        team: "t".into(),
-        kind,
-        priority,
-        tasks,
-        needs: Resources::needed(1.0, 1.0, 1.0),
-        image: "i".into(),
-        image_gb: 0.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: false,
-        estimate_s: 60.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-    }
-}
-
 fn types() -> Vec<MachineType> {
     vec![MachineType {
         name: "m".into(),
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -1,6 +1,8 @@
 //! The core at the size of the grown deployments: work bounded by counted probes, not by a clock, and
 //! troubles told apart that look alike on a handful of machines.
 
+mod common;
+
 use dockpier::core::model::*;
 use dockpier::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob};
 use dockpier::limits::{self, SECOND};
@@ -12,24 +14,10 @@
 
 fn spec(uid: u64, kind: Kind, priority: Priority, tasks: u32) -> JobSpec {
     JobSpec {
-        uid: Uid(uid),
-        class: "c".into(),
-        team: "t".into(),
-        kind,
-        priority,
-        tasks,
-        needs: Resources::needed(1.0, 1.0, 1.0),
         image: format!("i{}", uid % 7),
         image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
         spread: kind == Kind::Service,
-        spot: false,
-        estimate_s: 60.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
+        ..common::spec(uid, kind, priority, tasks)
     }
 }
 
