--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -1,7 +1,7 @@
 //! What to rent, keep, drain and return. Renting follows the queue.
 
 use super::model::*;
-use super::place::ZoneCount;
+use super::plan::Plan;
 use super::{Core, Effect, ListedMachine, Outcome};
 use crate::limits;
 use std::collections::{BTreeMap, BTreeSet};
@@ -13,7 +13,7 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     due: u64,
-    requests: u64,
+    pub requests: u64,
     /// Requests without an answer yet, and how many machines each asks for.
     pub renting: BTreeMap<u64, (Offer, u32)>,
     /// Offers refused: when to ask again, and the pause after that.
@@ -27,7 +27,7 @@
     /// Machines that are provably gone; names are never used again.
     pub gone: BTreeSet<String>,
     /// A plan that its budget did not suffice for; the next round goes on with it.
-    plan: Option<Plan>,
+    pub plan: Option<Plan>,
 }
 
 impl Fleet {
@@ -36,24 +36,6 @@
     }
 }
 
-/// A machine that is not there yet, as the plan fills it.
-#[derive(Debug)]
-struct Planned {
-    offer: Offer,
-    room: Resources,
-    used: bool,
-}
-
-/// The queue packed into what is coming and, beyond that, into new machines.
-#[derive(Debug)]
-struct Plan {
-    queue: std::vec::IntoIter<Uid>,
-    planned: Vec<Planned>,
-    /// How many machines of each offer are coming or wanted.
-    count: BTreeMap<Offer, usize>,
-    wanted: BTreeMap<Offer, u32>,
-}
-
 impl Core {
     pub fn fleet_round(&mut self) {
         if self.now < self.fleet.due {
@@ -73,199 +55,11 @@
         self.fleet.due = self.now + if complete { limits::FLEET_ROUND } else { limits::FLEET_REST };
     }
 
-    fn offers(
-        &self,
-        job_type: impl Fn(&str) -> bool,
-        zone: impl Fn(&str) -> bool,
-        spot: bool,
-    ) -> Vec<(f64, Offer)> {
-        let mut offers = Vec::new();
-        for t in self.types.values().filter(|t| job_type(&t.name)) {
-            for z in t.zones.iter().filter(|z| zone(z)) {
-                if let (true, Some(price)) = (spot, t.spot_price) {
-                    offers.push((price, (t.name.clone(), z.clone(), true)));
-                }
-                offers.push((t.price, (t.name.clone(), z.clone(), false)));
-            }
-        }
-        offers.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
-        offers
-    }
-
-    fn refused(&self, offer: &Offer) -> bool {
+    pub fn refused(&self, offer: &Offer) -> bool {
         self.fleet.refused.get(offer).is_some_and(|(until, _)| self.now < *until)
     }
 
-    fn begin_plan(&mut self) {
-        let queue = self.jobs.values().filter(|j| !j.over && !j.waiting.is_empty());
-        let mut queue: Vec<&Job> = queue.filter(|j| j.paused_until <= self.now).collect();
-        queue.sort_by_key(|j| (std::cmp::Reverse(self.rank(j)), j.arrived, j.spec.uid));
-        let queue: Vec<Uid> = queue.into_iter().map(|j| j.spec.uid).collect();
-        let planned = self.coming();
-        let mut count = BTreeMap::new();
-        planned.iter().for_each(|p| *count.entry(p.offer.clone()).or_default() += 1);
-        self.fleet.plan = Some(Plan { queue: queue.into_iter(), planned, count, wanted: BTreeMap::new() });
-    }
-
-    /// Packs the queue and the reserve into what is coming and then new machines, within a budget;
-    /// rents and returns machines when that is through. Returns whether it is.
-    fn go_on_planning(&mut self) -> bool {
-        let Some(mut plan) = self.fleet.plan.take() else { return true };
-        let mut probes = 0;
-        while probes < self.config.round_probes {
-            let Some(uid) = plan.queue.next() else {
-                self.probes += probes as u64;
-                self.carry_out_plan(plan);
-                return true;
-            };
-            if let Some(job) = self.jobs.get(&uid).filter(|j| !j.over) {
-                self.plan_job(job, &mut plan, &mut probes);
-            }
-        }
-        self.probes += probes as u64;
-        self.fleet.plan = Some(plan);
-        false
-    }
-
-    fn carry_out_plan(&mut self, mut plan: Plan) {
-        let kept = self.plan_reserve(&mut plan);
-        for (offer, count) in plan.wanted {
-            if self.fleet.renting.values().any(|(o, _)| *o == offer) {
-                continue;
-            }
-            let count = count.min(limits::RENT_MOST);
-            self.fleet.requests += 1;
-            let request = self.fleet.requests;
-            info!(request, machine_type = offer.0, zone = offer.1, spot = offer.2, count, "rent");
-            let kind = if offer.2 { "spot" } else { "ordinary" };
-            self.decided(format!("rent {count} {kind} {} in {}", offer.0, offer.1));
-            self.fleet.renting.insert(request, (offer.clone(), count));
-            let (machine_type, zone, spot) = offer;
-            self.effects.push(Effect::Rent { request, machine_type, zone, spot, count });
-        }
-        self.return_idle(&kept);
-    }
-
-    fn coming(&self) -> Vec<Planned> {
-        let booting = self
-            .machines
-            .values()
-            .filter(|m| m.phase == Phase::Expected && !m.deleting)
-            .map(|m| (m.machine_type.clone(), m.zone.clone(), m.spot));
-        let asked = self
-            .fleet
-            .renting
-            .values()
-            .flat_map(|(offer, n)| std::iter::repeat_n(offer.clone(), *n as usize));
-        booting
-            .chain(asked)
-            .filter_map(|offer| {
-                let room = self.types.get(&offer.0)?.has;
-                Some(Planned { offer, room, used: false })
-            })
-            .collect()
-    }
-
-    fn plan_job(&self, job: &Job, plan: &mut Plan, probes: &mut usize) {
-        let needs = &job.spec.needs;
-        let mut zones = ZoneCount::of(job, &self.machines);
-        let limited = self.team_limited(&job.spec.team);
-        let most = if limited { self.team_room(job) } else { u32::MAX };
-        let mut left = (job.waiting.len() as u32).min(most);
-        // What is coming, machines in use and with the least room first.
-        *probes += 1 + plan.planned.len();
-        let mut fitting: Vec<&mut Planned> = plan
-            .planned
-            .iter_mut()
-            .filter(|p| {
-                needs.fits(&p.room) && job.spec.allows_type(&p.offer.0) && (!p.offer.2 || job.spec.spot)
-            })
-            .collect();
-        fitting.sort_by_key(|p| (!p.used, p.room.gpus));
-        for p in fitting {
-            while left > 0 && needs.fits(&p.room) && zones.allows(job, &p.offer.1) {
-                p.room = p.room.minus(needs);
-                p.used = true;
-                zones.add(&p.offer.1);
-                left -= 1;
-            }
-        }
-        if left == 0 {
-            return;
-        }
-        let patient = self.now < job.arrived + limits::micros(self.config.operator.spot_patience_s);
-        let mut offers = self.offers(|t| job.spec.allows_type(t), |_| true, job.spec.spot);
-        offers.retain(|(_, o)| {
-            let fits = self.types.get(&o.0).is_some_and(|t| needs.fits(&t.has));
-            fits && !(job.spec.spot && !o.2 && patient) && !self.refused(o)
-        });
-        while left > 0 {
-            *probes += offers.len();
-            // Equal prices: the zone with fewer of the job's tasks, then the one with fewer machines.
-            let load = |o: &Offer| plan.count.get(o).copied().unwrap_or(0);
-            let open = offers.iter().filter(|(_, o)| zones.allows(job, &o.1));
-            let best = open.min_by(|a, b| {
-                a.0.total_cmp(&b.0)
-                    .then_with(|| (zones.get(&a.1 .1), load(&a.1)).cmp(&(zones.get(&b.1 .1), load(&b.1))))
-            });
-            let Some((_, offer)) = best else { return };
-            let Some(t) = self.types.get(&offer.0) else { return };
-            let mut room = t.has;
-            // One task at a time would be fairer to the zones, but a machine that is paid for is filled.
-            while left > 0 && needs.fits(&room) && zones.allows(job, &offer.1) {
-                room = room.minus(needs);
-                zones.add(&offer.1);
-                left -= 1;
-            }
-            *plan.wanted.entry(offer.clone()).or_default() += 1;
-            *plan.count.entry(offer.clone()).or_default() += 1;
-            plan.planned.push(Planned { offer: offer.clone(), room, used: true });
-        }
-    }
-
-    /// Keeps places for critical services in each zone; returns the machines they rest on.
-    fn plan_reserve(&self, plan: &mut Plan) -> BTreeSet<String> {
-        let mut kept = BTreeSet::new();
-        let Some(shape) = self.critical_shape() else { return kept };
-        for zone in &self.config.zones {
-            let mut open = self.reserve_places();
-            let mut here: Vec<(&Machine, i64)> = self
-                .machines
-                .values()
-                .filter(|m| self.usable(m) && !m.spot && m.zone == *zone)
-                .map(|m| (m, shape.count_in(&m.free())))
-                .filter(|(_, n)| *n > 0)
-                .collect();
-            // Places on machines that run something anyway cost nothing more.
-            here.sort_by_key(|(m, n)| (m.tasks.is_empty(), *n, m.name.clone()));
-            for (machine, places) in here {
-                if open > 0 {
-                    open -= places;
-                    kept.insert(machine.name.clone());
-                }
-            }
-            for p in plan.planned.iter_mut().filter(|p| !p.offer.2 && p.offer.1 == *zone) {
-                let places = shape.count_in(&p.room);
-                if open > 0 && places > 0 {
-                    open -= places;
-                    p.used = true;
-                }
-            }
-            while open > 0 {
-                let offers = self.offers(|_| true, |z| z == zone, false);
-                let fits = offers.into_iter().find(|(_, o)| {
-                    !self.refused(o) && self.types.get(&o.0).is_some_and(|t| shape.fits(&t.has))
-                });
-                let Some((_, offer)) = fits else { break };
-                let Some(t) = self.types.get(&offer.0) else { break };
-                open -= shape.count_in(&t.has).max(1);
-                *plan.wanted.entry(offer).or_default() += 1;
-            }
-        }
-        kept
-    }
-
-    fn return_idle(&mut self, kept: &BTreeSet<String>) {
+    pub fn return_idle(&mut self, kept: &BTreeSet<String>) {
         let now = self.now;
         let operator = self.config.operator.clone();
         let mut back = Vec::new();
@@ -376,9 +170,10 @@
         let Some((offer, count)) = self.fleet.renting.remove(&request) else { return };
         let names = machines.unwrap_or_default();
         if outcome == Outcome::Refused || (names.len() as u32) < count {
-            let (_, pause) =
-                self.fleet.refused.get(&offer).copied().unwrap_or((0, limits::REFUSED_PAUSE / 2));
-            let pause = (pause * 2).min(limits::REFUSED_PAUSE_MAX);
+            let known = self.fleet.refused.get(&offer).copied();
+            let (until, pause) = known.unwrap_or((0, limits::REFUSED_PAUSE / 2));
+            // Requests made together that are refused together are one refusal.
+            let pause = if self.now < until { pause } else { (pause * 2).min(limits::REFUSED_PAUSE_MAX) };
             debug!(
                 machine_type = offer.0,
                 zone = offer.1,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,7 @@
 pub mod model;
 pub mod overview;
 pub mod place;
+pub mod plan;
 pub mod records;
 pub mod reports;
 
@@ -32,6 +33,8 @@
     pub write_rps: f64,
     /// Machines that fit into one record.
     pub record_machines: usize,
+    /// Rental requests under way at once.
+    pub rentals_at_once: usize,
     /// For how long a holder may answer for a machine, in microseconds; 0: there are no others.
     pub block_lease: u64,
 }
--- a/src/core/place.rs
+++ b/src/core/place.rs
@@ -21,7 +21,11 @@
     }
 
     pub fn add(&mut self, zone: &str) {
-        *self.0.entry(zone.into()).or_default() += 1;
+        self.add_many(zone, 1);
+    }
+
+    pub fn add_many(&mut self, zone: &str, tasks: u32) {
+        *self.0.entry(zone.into()).or_default() += tasks;
     }
 
     pub fn remove(&mut self, zone: &str) {
@@ -36,10 +40,16 @@
 
     /// Whether the zone rules of the job allow one more task there.
     pub fn allows(&self, job: &Job, zone: &str) -> bool {
-        if !job.spec.allows_zone(zone) || self.get(zone) >= job.spec.zone_most() {
-            return false;
+        self.room(job, zone) > 0
+    }
+
+    /// How many more tasks of the job its zone rules allow there.
+    pub fn room(&self, job: &Job, zone: &str) -> u32 {
+        let elsewhere = job.spec.one_zone && self.0.iter().any(|(other, n)| *n > 0 && other != zone);
+        if elsewhere || !job.spec.allows_zone(zone) {
+            return 0;
         }
-        !job.spec.one_zone || self.0.iter().all(|(other, n)| *n == 0 || other == zone)
+        job.spec.zone_most().saturating_sub(self.get(zone))
     }
 }
 
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -212,8 +212,13 @@
 /// `how_many` is at most 50, a deletion names at most 100 machines (PROTOCOL).
 pub const RENT_MOST: u32 = 50;
 pub const DELETE_MOST: usize = 100;
-/// Machines on a page of the cloud's list (PROTOCOL: at most 500).
-pub const LIST_PAGE: u32 = 200;
+/// Machines on a page of the cloud's list, the most that PROTOCOL allows: a fleet of 1,900 is four calls.
+pub const LIST_PAGE: u32 = 500;
+
+/// Rental requests under way at once: what goes out in two seconds at the leader's half of the cloud's limit.
+pub fn rentals_at_once(rps: f64) -> usize {
+    (rps as usize).max(1)
+}
 /// Spot prices wander; the catalog is read again this often.
 pub const CATALOG_EVERY: Duration = Duration::from_secs(60);
 
--- a/src/server.rs
+++ b/src/server.rs
@@ -20,7 +20,7 @@
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 use tracing::{debug, info, warn};
 
 #[derive(Debug, Error)]
@@ -165,6 +165,7 @@
             cpu_share: deployment.resources.cpu,
             write_rps: deployment.state.write_rps,
             record_machines: limits::record_machines(deployment.state.value_kb),
+            rentals_at_once: limits::rentals_at_once(deployment.cloud.rps),
             block_lease: match settings.members.len() {
                 0 => 0,
                 _ => limits::block_lease(deployment.workers.report_s),
@@ -939,8 +940,9 @@
     }
 }
 
-/// Sends rentals and deletions one at a time within the cloud's limit; deletions first, since
-/// machines cost money and tasks wait for the proof that they are gone.
+/// Sends rentals and deletions within the cloud's limit; deletions first, since machines cost money and tasks
+/// wait for the proof that they are gone. None waits for the answer to another: one that hangs must hold
+/// nothing up.
 async fn drive_cloud(
     cloud: Cloud,
     events: mpsc::Sender<Event>,
@@ -951,6 +953,8 @@
     // Half of the limit: lists and the other nodes' catalogs need some too.
     let pace = Duration::from_secs_f64(2.0 / rps.max(0.1));
     let mut waiting: VecDeque<CloudRequest> = VecDeque::new();
+    // Ended with this task, and so with the leadership.
+    let mut under_way = JoinSet::new();
     loop {
         if waiting.is_empty() {
             match queue.recv().await {
@@ -961,39 +965,45 @@
         while let Ok(request) = queue.try_recv() {
             waiting.push_back(request);
         }
+        while under_way.try_join_next().is_some() {}
         let at = waiting.iter().position(|r| matches!(r, CloudRequest::Delete(_))).unwrap_or(0);
         let Some(request) = waiting.remove(at) else { continue };
-        let command = match request {
-            CloudRequest::Delete(machines) => {
-                let outcome = cloud.delete(&machines).await;
-                Command::Deleted { machines, outcome }
-            }
-            CloudRequest::Rent { request, machine_type, zone, spot, count } => {
-                // The token makes the name unique among all leaders there will ever be.
-                let charter = format!("r-{token}-{request}");
-                let rental = Rental {
-                    charter: &charter,
-                    hull: &machine_type,
-                    quay: &zone,
-                    driftwood: spot,
-                    how_many: count,
-                };
-                let mut answer = cloud.rent(&rental).await;
-                for _ in 0..2 {
-                    if answer.0 == Outcome::Unknown {
-                        // The same name again rents nothing twice.
-                        tokio::time::sleep(pace * 2).await;
-                        answer = cloud.rent(&rental).await;
-                    }
+        let (cloud, events) = (cloud.clone(), events.clone());
+        under_way.spawn(async move {
+            let command = ask_cloud(cloud, request, token, pace).await;
+            let _ = events.send(Event::Core(token, command)).await;
+        });
+        tokio::time::sleep(pace).await;
+    }
+}
+
+async fn ask_cloud(cloud: Cloud, request: CloudRequest, token: u64, pace: Duration) -> Command {
+    match request {
+        CloudRequest::Delete(machines) => {
+            let outcome = cloud.delete(&machines).await;
+            Command::Deleted { machines, outcome }
+        }
+        CloudRequest::Rent { request, machine_type, zone, spot, count } => {
+            // The token makes the name unique among all leaders there will ever be.
+            let charter = format!("r-{token}-{request}");
+            let rental = Rental {
+                charter: &charter,
+                hull: &machine_type,
+                quay: &zone,
+                driftwood: spot,
+                how_many: count,
+            };
+            let mut answer = cloud.rent(&rental).await;
+            for _ in 0..2 {
+                if answer.0 == Outcome::Unknown {
+                    // The same name again rents nothing twice.
+                    tokio::time::sleep(pace * 2).await;
+                    answer = cloud.rent(&rental).await;
                 }
-                let (outcome, names) = answer;
-                Command::Rented { request, machines: Some(names), outcome }
             }
-        };
-        if events.send(Event::Core(token, command)).await.is_err() {
-            return;
+            let (outcome, names) = answer;
+            Command::Rented { request, machines: Some(names), outcome }
         }
-        tokio::time::sleep(pace).await;
     }
 }
 
--- a/tests/core_rules.rs
+++ b/tests/core_rules.rs
@@ -26,6 +26,7 @@
         cpu_share: 1.0,
         write_rps: 1000.0,
         record_machines: 3,
+        rentals_at_once: 10,
         block_lease: limits::block_lease(1.0),
     }
 }
--- a/tests/elastic_model.rs
+++ b/tests/elastic_model.rs
@@ -44,6 +44,7 @@
             cpu_share: 1.0,
             write_rps: 1000.0,
             record_machines: 3,
+            rentals_at_once: 10,
             block_lease: 0,
         };
         let mut bed = Bed {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -55,6 +55,7 @@
             cpu_share: 0.2,
             write_rps: 1000.0,
             record_machines: 12,
+            rentals_at_once: 10,
             block_lease: 0,
         };
         let machine_type = MachineType {
