--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -84,38 +84,10 @@
     /// Machines that are lost, failed to boot, or are silent or deaf while the others are not.
     fn delete_lost(&mut self) {
         let now = self.now;
-        let silent = limits::silent(self.config.workers.report_s);
-        // A machine of the last leader's that does not come to this one counts too: while it may hold
-        // anything, no task of an inherited job starts.
-        let unsettled = |m: &&Machine| m.inherited && !m.settled && m.phase == Phase::Expected;
-        let up: Vec<&Machine> = self.machines.values().filter(|m| m.phase == Phase::Up).collect();
-        let missing: Vec<&Machine> = self.machines.values().filter(unsettled).collect();
-        let mut back = Vec::new();
-        let early = now < self.started + silent.max(limits::COMES_LATE);
-        // Those that have not come have no way yet: they are judged against all that have.
-        let share = limits::SILENT_SHARE * (up.len() + missing.len()) as f64;
-        if !early && (missing.len() <= 2 || missing.len() as f64 <= share) {
-            back.extend(missing.iter().filter(|m| !m.deleting).map(|m| m.name.clone()));
-        }
-        // By the way they report: many that fall silent together there have lost that way, not themselves.
-        let ways: BTreeSet<Option<usize>> = up.iter().map(|m| m.via).collect();
-        for way in ways {
-            let here: Vec<&&Machine> = up.iter().filter(|m| m.via == way).collect();
-            let patience = if self.way_lost(way, &here) {
-                // Their holder may answer them for its lease, and they may hang at two nodes afterwards.
-                self.config.block_lease + limits::COMES_LATE
-            } else {
-                silent
-            };
-            let quiet = |m: &&Machine| now >= m.heard + patience || m.unheard >= limits::UNHEARD_DEAF;
-            let silent_now: Vec<&&Machine> = here.iter().copied().filter(|m| quiet(m)).collect();
-            let share = limits::SILENT_SHARE * here.len() as f64;
-            let together = silent_now.len() > 2 && silent_now.len() as f64 > share;
-            if !together && !early {
-                back.extend(silent_now.iter().filter(|m| !m.deleting).map(|m| m.name.clone()));
-            }
-        }
-        for machine in self.machines.values().filter(|m| !m.deleting) {
+        let mut back = self.silent_to_give_up();
+        // One in a dark zone may be up and unheard, and holds an image for when the zone is back.
+        let may_go = |m: &&Machine| !m.deleting && !self.silence.zone_dark(&m.zone);
+        for machine in self.machines.values().filter(may_go) {
             let never_up = machine.phase == Phase::Expected && now >= machine.boot_give_up;
             if never_up || machine.phase == Phase::Lost {
                 back.push(machine.name.clone());
@@ -124,19 +96,6 @@
         self.delete(back, "lost, silent, deaf or never up");
     }
 
-    /// Whether reports have stopped coming this way: the first machines to be missed would otherwise be
-    /// given up one by one before the others are.
-    fn way_lost(&self, way: Option<usize>, machines: &[&&Machine]) -> bool {
-        let out_of_touch = way.and_then(|node| self.out_of_touch.get(&node));
-        if out_of_touch.is_some_and(|last| self.now < last + limits::COMES_LATE) {
-            return true;
-        }
-        let latest = machines.iter().map(|m| m.heard).max().unwrap_or(0);
-        let many = machines.len() as u64;
-        let interval = limits::micros(self.config.workers.report_s) / many.max(1);
-        many > 2 && self.now >= latest + limits::WAY_SILENT + 3 * interval
-    }
-
     fn delete(&mut self, names: Vec<String>, why: &str) {
         for chunk in names.chunks(limits::DELETE_MOST) {
             for name in chunk {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,6 +10,7 @@
 pub mod plan;
 pub mod records;
 pub mod reports;
+pub mod silence;
 
 use crate::limits;
 use crate::settings::{Operator, Team, Workers};
@@ -227,6 +228,7 @@
     kept_alive: u64,
     /// When each holder was last out of touch: what reports through it may come another way for a while.
     out_of_touch: BTreeMap<usize, u64>,
+    silence: silence::Silence,
     effects: Vec<Effect>,
 }
 
@@ -259,6 +261,7 @@
             settled: false,
             kept_alive: now + limits::lengthened(block_lease),
             out_of_touch: BTreeMap::new(),
+            silence: silence::Silence::default(),
             effects: Vec::new(),
         }
     }
@@ -346,8 +349,12 @@
     fn checkin(&mut self, reply: u64, report: Report, via: Option<usize>) {
         let name = report.machine.clone();
         let taken = self.report(report, true);
+        let now = self.now;
         if let Some(machine) = self.machines.get_mut(&name).filter(|_| taken != Taken::Late) {
-            machine.via = via;
+            if machine.via != via {
+                machine.left = Some((machine.via, now));
+                machine.via = via;
+            }
         }
         match taken {
             Taken::News => {
@@ -503,6 +510,7 @@
             && machine.recall_at.is_none()
             && machine.foreign.is_empty()
             && machine.no_room_until <= self.now
+            && !self.silence.zone_dark(&machine.zone)
             && machine.unheard < limits::UNHEARD_DEAF
             && self.now < machine.heard + limits::silent(self.config.workers.report_s)
     }
@@ -530,6 +538,7 @@
             return;
         }
         self.expire_due = self.now + limits::EXPIRE_EVERY;
+        self.look_at_silence();
         let lease = limits::worker_lease(self.config.workers.lease_s);
         let now = self.now;
         let alive = self.started.max(self.kept_alive);
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -250,6 +250,8 @@
     /// answer it by itself.
     pub via: Option<usize>,
     pub kept_until: u64,
+    /// The way that it reported by before, and when it left that one.
+    pub left: Option<(Option<usize>, u64)>,
     /// Its holder has been told to pass its next report on.
     pub woken: bool,
     pub tasks: BTreeMap<TaskId, Placed>,
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -64,6 +64,8 @@
 }
 
 impl Core {
+    /// Takes up the plan. Machines in a dark zone, booting or not, help nobody until it is back, so that none
+    /// is counted on or rented there.
     pub fn begin_plan(&mut self) {
         let queue = self.jobs.values().filter(|j| !j.over && !j.waiting.is_empty());
         let mut queue: Vec<&Job> = queue.filter(|j| j.paused_until <= self.now).collect();
@@ -84,7 +86,8 @@
             *plan.count.entry(offer.clone()).or_default() += n;
         }
         for (offer, n) in plan.count.clone() {
-            if let Some(machine_type) = self.types.get(&offer.0) {
+            if let Some(machine_type) = self.types.get(&offer.0).filter(|_| !self.silence.zone_dark(&offer.1))
+            {
                 plan.add(&offer, machine_type.has, false, n);
             }
         }
@@ -142,7 +145,7 @@
     ) -> Vec<(f64, Offer)> {
         let mut offers = Vec::new();
         for t in self.types.values().filter(|t| job_type(&t.name)) {
-            for z in t.zones.iter().filter(|z| zone(z)) {
+            for z in t.zones.iter().filter(|z| zone(z) && !self.silence.zone_dark(z)) {
                 if let (true, Some(price)) = (spot, t.spot_price) {
                     offers.push((price, (t.name.clone(), z.clone(), true)));
                 }
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -30,6 +30,7 @@
             answered: 0,
             via: None,
             kept_until: 0,
+            left: None,
             woken: false,
             tasks: BTreeMap::new(),
             listed: Vec::new(),
--- /dev/null
+++ b/src/core/silence.rs
@@ -0,0 +1,206 @@
+//! Which silent machines to give up. Silence has many causes that look alike for a while: a machine's own
+//! death, a hang, a way that is lost (the holder that passed its reports on), a zone that is cut off, a fault
+//! of our own. A machine given up is deleted, and with it everything that may still run there, so that the
+//! causes in which machines live on are told apart first: by zone, by way and by time.
+
+use super::model::*;
+use super::Core;
+use crate::limits;
+use std::collections::{BTreeMap, BTreeSet};
+use tracing::info;
+
+/// Whether anything is heard from a zone, or by a way.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Light {
+    dark: bool,
+    /// When it was last dark, from and until.
+    last: Option<(u64, u64)>,
+}
+
+impl Light {
+    fn update(&mut self, dark: bool, now: u64) {
+        match &mut self.last {
+            Some((_, until)) if dark && self.dark => *until = now,
+            _ if dark => self.last = Some((now, now)),
+            _ => {}
+        }
+        self.dark = dark;
+    }
+
+    fn dark_from(&self) -> u64 {
+        self.last.map_or(u64::MAX, |(from, _)| from)
+    }
+
+    /// From when on what is still silent after the darkness has no excuse: its machines may hang at two nodes
+    /// before they are heard.
+    fn back(&self) -> u64 {
+        self.last.map_or(0, |(_, until)| until + limits::COMES_LATE)
+    }
+}
+
+/// A machine as this judgement sees it.
+#[derive(Debug, Clone)]
+pub struct Seen<'a> {
+    pub name: &'a str,
+    pub zone: &'a str,
+    pub way: Option<usize>,
+    /// The way that it came by before, and when it left that one.
+    pub left: Option<(Option<usize>, u64)>,
+    pub heard: u64,
+    pub deaf: bool,
+    /// An earlier leader recorded it, and it has not come to this one.
+    pub awaited: bool,
+}
+
+/// What is known of zones and ways, kept from one look to the next.
+#[derive(Debug, Default)]
+pub struct Silence {
+    zones: BTreeMap<String, Light>,
+    ways: BTreeMap<Option<usize>, Light>,
+}
+
+/// Times that the judgement rests on, in microseconds.
+#[derive(Debug, Clone, Copy)]
+pub struct Patience {
+    pub report: u64,
+    /// A machine's own silence.
+    pub silent: u64,
+    /// How long a holder out of touch may answer by itself.
+    pub block_lease: u64,
+    /// When this leader began to listen.
+    pub started: u64,
+}
+
+fn too_many(silent: usize, of: usize) -> bool {
+    silent > 2 && silent as f64 > limits::SILENT_SHARE * of as f64
+}
+
+impl Patience {
+    /// Nothing has come from so many machines since `latest`. The more there are, the sooner their common
+    /// silence means something, but for a while after they all came at once they do so again together.
+    fn dark(&self, now: u64, machines: usize, latest: u64) -> bool {
+        let interval = self.report / machines.max(1) as u64;
+        machines >= limits::SILENT_TOGETHER as usize
+            && now >= latest.max(self.started) + limits::way_silent(self.report) + 3 * interval
+    }
+}
+
+impl Silence {
+    /// Looks at all machines that should be heard. `out_of_touch`: holders that this leader does not reach.
+    pub fn look(&mut self, now: u64, p: &Patience, seen: &[Seen], out_of_touch: &BTreeSet<usize>) {
+        let mut zones: BTreeMap<&str, (usize, u64)> = BTreeMap::new();
+        let mut ways: BTreeMap<Option<usize>, (usize, u64)> = BTreeMap::new();
+        for m in seen {
+            let zone = zones.entry(m.zone).or_default();
+            *zone = (zone.0 + 1, zone.1.max(m.heard));
+            if !m.awaited {
+                let way = ways.entry(m.way).or_default();
+                *way = (way.0 + 1, way.1.max(m.heard));
+            }
+        }
+        for (zone, (machines, latest)) in zones {
+            let light = self.zones.entry(zone.into()).or_default();
+            let before = light.dark;
+            light.update(p.dark(now, machines, latest), now);
+            if light.dark != before {
+                info!(zone, dark = light.dark, machines, "zone");
+            }
+        }
+        for (way, (machines, latest)) in ways {
+            let lost = way.is_some_and(|node| out_of_touch.contains(&node));
+            self.ways.entry(way).or_default().update(lost || p.dark(now, machines, latest), now);
+        }
+    }
+
+    pub fn zone_dark(&self, zone: &str) -> bool {
+        self.zones.get(zone).is_some_and(|light| light.dark)
+    }
+
+    fn zone(&self, zone: &str) -> Light {
+        self.zones.get(zone).copied().unwrap_or_default()
+    }
+
+    /// The machines to give up.
+    pub fn given_up<'a>(&self, now: u64, p: &Patience, seen: &[Seen<'a>]) -> Vec<&'a str> {
+        // What a dark zone holds may all run on, and its machines could not be replaced there anyway.
+        let back = |light: Light| !light.dark && now >= light.back();
+        let lit: Vec<&Seen> = seen.iter().filter(|m| back(self.zone(m.zone))).collect();
+        let mut up = Vec::new();
+        if now < p.started + p.silent.max(limits::COMES_LATE) {
+            return up;
+        }
+        // Those that have not come to a new leader have no way yet: they are judged against all that should.
+        let awaited: Vec<&str> = lit.iter().filter(|m| m.awaited).map(|m| m.name).collect();
+        if !too_many(awaited.len(), lit.len()) {
+            up.extend(awaited);
+        }
+        let mut ways: BTreeMap<Option<usize>, Vec<&Seen>> = BTreeMap::new();
+        for m in lit.iter().filter(|m| !m.awaited) {
+            ways.entry(m.way).or_default().push(m);
+        }
+        for (way, here) in ways {
+            let light = self.ways.get(&way).copied().unwrap_or_default();
+            // Those whose holder has crashed come another way, and only the dead are left on theirs.
+            let left = |m: &&&Seen| m.left.is_some_and(|(from, at)| from == way && at >= light.dark_from());
+            let block = here.len() + lit.iter().filter(left).count();
+            let silent = |m: &&&Seen| now >= m.heard + p.silent;
+            let quiet = here.iter().filter(|m| silent(m) || m.deaf).count();
+            // A holder that is only out of touch answers what says nothing new until its lease ends.
+            let wait = if light.dark {
+                light.dark_from() + p.block_lease + limits::COMES_LATE
+            } else {
+                light.back()
+            };
+            // Many that fall silent together although others are heard that way: their leases will tell.
+            if now < wait || too_many(quiet, block) {
+                continue;
+            }
+            up.extend(here.iter().filter(|m| silent(m) || m.deaf).map(|m| m.name));
+        }
+        up
+    }
+}
+
+impl Core {
+    fn patience(&self) -> Patience {
+        let report_s = self.config.workers.report_s;
+        Patience {
+            report: limits::micros(report_s),
+            silent: limits::silent(report_s),
+            block_lease: self.config.block_lease,
+            started: self.started,
+        }
+    }
+
+    fn seen(&self) -> Vec<Seen<'_>> {
+        let awaited = |m: &Machine| m.inherited && !m.settled && m.phase == Phase::Expected;
+        let heard = self.machines.values().filter(|m| m.phase == Phase::Up || awaited(m));
+        heard
+            .map(|m| Seen {
+                name: &m.name,
+                zone: &m.zone,
+                way: m.via,
+                left: m.left,
+                heard: m.heard,
+                deaf: m.unheard >= limits::UNHEARD_DEAF,
+                awaited: awaited(m),
+            })
+            .collect()
+    }
+
+    /// Notes which zones and ways are dark.
+    pub fn look_at_silence(&mut self) {
+        let mut silence = std::mem::take(&mut self.silence);
+        let recent = |(_, last): &(&usize, &u64)| self.now < *last + limits::HEARTBEAT;
+        let out_of_touch = self.out_of_touch.iter().filter(recent).map(|(node, _)| *node).collect();
+        silence.look(self.now, &self.patience(), &self.seen(), &out_of_touch);
+        self.silence = silence;
+    }
+
+    pub fn silent_to_give_up(&self) -> Vec<String> {
+        let seen = self.seen();
+        let up = self.silence.given_up(self.now, &self.patience(), &seen);
+        let deleting = |name: &str| self.machines.get(name).is_some_and(|m| m.deleting);
+        up.into_iter().filter(|name| !deleting(name)).map(str::to_string).collect()
+    }
+}
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -103,9 +103,12 @@
 /// Reports running without a trace of the answer before them, after which a machine is deaf: it gets no
 /// new tasks and is deleted. One lost answer is ordinary.
 pub const UNHEARD_DEAF: u32 = 2;
-/// No report at all through one node for this long, and for three times the mean interval between them,
-/// means that the way is lost: holders tell whom they answered once a second.
-pub const WAY_SILENT: u64 = 1_500_000;
+/// No report at all through one node, or from one zone, for this long and three times the mean interval
+/// between them means that it is lost: holders tell whom they answered once a second, and machines that all
+/// reported at once (a cut has ended) next do so three quarters of an interval later at the earliest.
+pub fn way_silent(report: u64) -> u64 {
+    (report / 4 * 3 + 500_000).max(1_500_000)
+}
 /// This many machines silent at the same time point to our own connection.
 pub const SILENT_TOGETHER: u32 = 3;
 /// After a change of leader, a machine may hang twice at nodes that do not answer (4 s and a pause of
