--- a/src/blocks.rs
+++ b/src/blocks.rs
@@ -1,92 +1,126 @@
-//! A controller's block: the workers that report to it, leased to it by the leader one by one.
+//! A controller's block: the workers that report to it.
 //!
 //! The holder passes on what changes and answers by itself, under the leader's token and without commands,
-//! the reports that say nothing new. Its lease on a machine runs for a time that the leader counts from the
-//! moment it hears of the machine, and the holder from the moment it sent word of it, so that the leader
-//! always knows until when somebody may have kept a worker alive. So leases run on while a leader is
-//! followed by another, and an unchanged report costs the leader nothing.
+//! the reports that say nothing new. Once a second it tells the leader whom it answered, and each such word
+//! that the leader confirms lets it go on for a block lease: counted by the holder from when it sent the word,
+//! by the leader from when it got it. While it hears no leader, a holder answers whoever shows the last token,
+//! so that a zone that is cut off lives on as a whole, whichever node its workers reported to before. The
+//! leader always knows until when somebody may have kept a worker alive.
 
 use crate::core::model::{Report, ReportedTask};
 use crate::limits;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
+/// The last report of a machine that the leader knows.
 struct Kept {
     session: u64,
     seq: u64,
     tasks: Vec<ReportedTask>,
-    until: u64,
     /// The leader has something to tell it: the next report is passed on whatever it says.
     woken: bool,
-    /// When it was last sent elsewhere with what the leader should know.
-    tried: Option<u64>,
+}
+
+/// A worker with news for a leader that is not heard here.
+enum Away {
+    Never,
+    /// Sent to the other nodes, which may hear it.
+    Sent,
+    /// It came back then: they don't either.
+    Back(u64),
+}
+
+/// Word for the leader of the machines answered here.
+pub struct Word {
+    pub id: u64,
+    /// It names every machine answered since the last word that was confirmed.
+    pub whole: bool,
+    pub machines: Vec<String>,
 }
 
 #[derive(Default)]
 pub struct Block {
     token: u64,
+    /// The block lease: until then this node may answer by itself.
+    until: u64,
     kept: HashMap<String, Kept>,
-    /// Machines answered here since the leader was last told.
-    heard: Vec<String>,
-    /// What it was told and has not confirmed: number, when, which machines.
+    away: HashMap<String, Away>,
+    /// Machines answered here that the leader has not confirmed, and the first word to name them.
+    answered: BTreeMap<String, u64>,
+    /// Words without confirmation: number, when, which machines.
     told: VecDeque<(u64, u64, Vec<String>)>,
     next: u64,
     tell_due: u64,
 }
 
 impl Block {
-    /// A leader is about. What an earlier one leased may still keep workers alive, but every report is
-    /// passed on to the new one.
+    /// A leader is about. Until it confirms a word of ours nobody is answered without it; what an earlier one
+    /// leased may still keep workers alive elsewhere.
     pub fn follow(&mut self, token: u64) {
         if token > self.token {
-            self.token = token;
-            self.kept.clear();
-            self.heard.clear();
-            self.told.clear();
+            *self = Block { token, next: self.next, ..Block::default() };
         }
     }
 
-    /// The token to answer a report with, if this node may answer it without the leader. While no leader
-    /// is heard, a worker with news tries the other nodes first, since it may be only us who do not hear
-    /// it; when it comes back it is kept alive.
+    /// This node led under the token and does not any more: it may go on keeping workers alive until then.
+    pub fn led(&mut self, token: u64, until: u64) {
+        self.follow(token);
+        self.until = until;
+    }
+
+    /// The token to answer a report with, if this node may answer it without the leader.
     pub fn answers(&mut self, now: u64, report: &Report, leader_heard: bool) -> Option<u64> {
-        let kept = self.kept.get_mut(&report.machine)?;
         // A worker that has seen a higher token drops ours and would sit here while its lease runs out.
-        if report.token != self.token || now + limits::GUARD >= kept.until {
+        if report.token != self.token || now + limits::GUARD >= self.until {
             return None;
         }
-        if (report.session, report.seq) <= (kept.session, kept.seq) {
+        let kept = self.kept.get(&report.machine);
+        if kept.is_some_and(|k| (report.session, report.seq) <= (k.session, k.seq)) {
             // A copy: nobody waits for the answer.
             return Some(self.token);
         }
-        let unchanged = report.session == kept.session
-            && report.notice_s.is_none()
-            && !kept.woken
-            && report.tasks == kept.tasks;
-        if !unchanged && (leader_heard || kept.tried.is_none_or(|at| now >= at + limits::BLOCK_RETRY)) {
-            kept.tried = Some(now);
+        let unchanged = kept.is_some_and(|k| {
+            report.session == k.session && report.notice_s.is_none() && !k.woken && report.tasks == k.tasks
+        });
+        if !unchanged && (leader_heard || self.sends_away(now, report)) {
             return None;
         }
-        if unchanged {
+        if let Some(kept) = self.kept.get_mut(&report.machine).filter(|_| unchanged) {
             kept.seq = report.seq;
-            self.heard.push(report.machine.clone());
         }
+        self.answered.insert(report.machine.clone(), self.next + 1);
         Some(self.token)
     }
 
-    /// The leader has answered a report that was passed on at `sent`, and leases the machine to us or not.
-    pub fn leased(&mut self, report: Report, token: u64, sent: u64, lease: Option<u64>) {
+    /// While no leader is heard, a worker of ours with news tries the other nodes first, since it may be only
+    /// us who do not hear it. One that has just come from there, as all do that we do not know, is kept alive.
+    fn sends_away(&mut self, now: u64, report: &Report) -> bool {
+        let known = self.kept.contains_key(&report.machine);
+        let away = self.away.entry(report.machine.clone());
+        let away = away.or_insert_with(|| if known { Away::Never } else { Away::Back(now) });
+        match away {
+            Away::Sent => {
+                *away = Away::Back(now);
+                false
+            }
+            Away::Back(at) if now < *at + limits::BLOCK_RETRY => false,
+            Away::Never | Away::Back(_) => {
+                *away = Away::Sent;
+                true
+            }
+        }
+    }
+
+    /// The leader has answered a report that was passed on. `keep`: what says nothing new need not be.
+    pub fn passed(&mut self, report: Report, token: u64, keep: bool) {
         if token != self.token {
             return;
         }
-        match lease {
-            Some(lease) if self.kept.len() < limits::BLOCK_MOST => {
-                let until = sent + limits::shortened(lease);
-                let Report { machine, session, seq, tasks, .. } = report;
-                self.kept.insert(machine, Kept { session, seq, tasks, until, woken: false, tried: None });
-            }
-            _ => {
-                self.kept.remove(&report.machine);
-            }
+        self.away.remove(&report.machine);
+        if keep && self.kept.len() < limits::BLOCK_MOST {
+            let Report { machine, session, seq, tasks, .. } = report;
+            self.kept.insert(machine, Kept { session, seq, tasks, woken: false });
+        } else {
+            self.kept.remove(&report.machine);
         }
     }
 
@@ -98,30 +132,38 @@
         }
     }
 
-    /// Word for the leader of the machines answered here: its number and their names.
-    pub fn tell(&mut self, now: u64) -> Option<(u64, Vec<String>)> {
-        if now < self.tell_due || self.heard.is_empty() {
+    /// Word for the leader, once in a while. It repeats what was not confirmed: a frame may be lost with its
+    /// connection, and the leader concludes from a word that nobody else was answered here before it.
+    pub fn tell(&mut self, now: u64) -> Option<Word> {
+        if now < self.tell_due {
             return None;
         }
         self.tell_due = now + limits::BLOCK_TELL;
         self.next += 1;
-        let machines = std::mem::take(&mut self.heard);
+        let mut room = limits::BLOCK_WORD;
+        let fits = |name: &&String| {
+            room = room.saturating_sub(name.len() + 1);
+            room > 0
+        };
+        let machines: Vec<String> = self.answered.keys().take_while(fits).cloned().collect();
+        let whole = machines.len() == self.answered.len();
         self.told.push_back((self.next, now, machines.clone()));
         if self.told.len() > limits::BLOCK_UNCONFIRMED {
             self.told.pop_front();
         }
-        // Leases that ended are forgotten here, where it happens once in a while.
-        self.kept.retain(|_, kept| kept.until > now);
-        Some((self.next, machines))
+        Some(Word { id: self.next, whole, machines })
     }
 
-    /// The leader has taken note: the leases of those machines run on from when it was told.
-    pub fn confirmed(&mut self, number: u64, lease: u64) {
-        while self.told.front().is_some_and(|(n, _, _)| *n <= number) {
+    /// The leader has taken note: our lease runs on from when it was told.
+    pub fn confirmed(&mut self, id: u64, lease: u64) {
+        while self.told.front().is_some_and(|(n, _, _)| *n <= id) {
             let Some((n, sent, machines)) = self.told.pop_front() else { return };
-            for machine in machines.iter().filter(|_| n == number) {
-                if let Some(kept) = self.kept.get_mut(machine) {
-                    kept.until = kept.until.max(sent + limits::shortened(lease));
+            if n == id {
+                self.until = self.until.max(sent + limits::shortened(lease));
+                for name in machines {
+                    if self.answered.get(&name).is_some_and(|first| *first <= id) {
+                        self.answered.remove(&name);
+                    }
                 }
             }
         }
@@ -134,7 +176,7 @@
     use crate::core::model::{TaskId, TaskStatus, Uid};
     use crate::limits::SECOND;
 
-    const LEASE: u64 = 8 * SECOND;
+    const LEASE: u64 = 20 * SECOND;
 
     fn report(seq: u64, tasks: u32) -> Report {
         let task =
@@ -153,11 +195,15 @@
         }
     }
 
+    /// A holder whose lease runs from one second on.
     fn block() -> Block {
         let mut block = Block::default();
         block.follow(4);
+        let word = block.tell(SECOND).unwrap();
         assert_eq!(block.answers(SECOND, &report(1, 2), true), None);
-        block.leased(report(1, 2), 4, SECOND, Some(LEASE));
+        block.confirmed(word.id, LEASE);
+        assert_eq!(block.answers(SECOND, &report(1, 2), true), None);
+        block.passed(report(1, 2), 4, true);
         block
     }
 
@@ -175,44 +221,83 @@
     }
 
     #[test]
-    fn without_a_leader_workers_live_on_until_the_lease_on_them_ends() {
+    fn without_a_leader_workers_live_on_until_the_block_lease_ends() {
         let mut block = block();
         assert_eq!(block.answers(3 * SECOND, &report(2, 2), false), Some(4));
         // With news it tries the other nodes once: perhaps they hear the leader.
         assert_eq!(block.answers(3 * SECOND, &report(3, 3), false), None);
-        assert_eq!(block.answers(5 * SECOND, &report(4, 3), false), Some(4));
+        // Behind a cut it hung at both of them, four seconds each and a second's pause; sent away again at
+        // once it would lose its lease.
+        assert_eq!(block.answers(14 * SECOND, &report(4, 3), false), Some(4));
+        assert_eq!(block.answers(17 * SECOND, &report(5, 3), false), Some(4));
         // What changed meanwhile is passed on as soon as there is a leader.
-        assert_eq!(block.answers(6 * SECOND, &report(5, 3), true), None);
-        assert_eq!(block.answers(SECOND + LEASE, &report(6, 2), false), None);
+        assert_eq!(block.answers(18 * SECOND, &report(6, 3), true), None);
+        assert_eq!(block.answers(SECOND + LEASE, &report(7, 2), false), None);
+    }
+
+    /// Two thirds of a cut zone's workers had reported to nodes outside it, and came to the one inside, which
+    /// did not know them and let their leases run out.
+    #[test]
+    fn without_a_leader_workers_that_come_from_other_nodes_are_kept_alive_too() {
+        let mut block = block();
+        let stranger = Report { machine: "m-2".into(), ..report(9, 1) };
+        assert_eq!(block.answers(2 * SECOND, &stranger, true), None, "the leader decides while it is heard");
+        assert_eq!(block.answers(8 * SECOND, &stranger, false), Some(4));
+        // Its token must be ours: one that has seen none, or an earlier one, holds nothing that we may keep.
+        assert_eq!(block.answers(8 * SECOND, &Report { token: 3, ..stranger }, false), None);
+        assert_eq!(block.tell(9 * SECOND).unwrap().machines, ["m-2"]);
     }
 
     #[test]
     fn a_lease_runs_on_from_when_the_leader_was_told_and_only_if_it_confirmed() {
         let mut block = block();
         assert!(block.answers(3 * SECOND, &report(2, 2), true).is_some());
-        let (number, machines) = block.tell(4 * SECOND).unwrap();
-        assert_eq!(machines, ["m-1"]);
-        let late = 4 * SECOND + LEASE - SECOND;
+        let word = block.tell(4 * SECOND).unwrap();
+        assert!(word.whole);
+        assert_eq!(word.machines, ["m-1"]);
+        let late = SECOND + LEASE;
         assert_eq!(block.answers(late, &report(3, 2), true), None, "not confirmed");
-        block.confirmed(number, LEASE);
+        block.confirmed(word.id, LEASE);
         assert_eq!(block.answers(late, &report(4, 2), true), Some(4));
         assert_eq!(block.answers(4 * SECOND + LEASE, &report(5, 2), true), None);
     }
 
+    /// The leader takes a word as proof that nobody else was answered before it: what it has not confirmed
+    /// must be in the next one, since a frame may be lost with its connection.
+    #[test]
+    fn a_word_names_whoever_was_answered_since_the_last_one_that_was_confirmed() {
+        let mut block = block();
+        assert!(block.answers(2 * SECOND, &report(2, 2), true).is_some());
+        let lost = block.tell(3 * SECOND).unwrap();
+        let next = block.tell(5 * SECOND).unwrap();
+        assert_eq!((lost.machines, &next.machines), (vec!["m-1".to_string()], &vec!["m-1".to_string()]));
+        // Answered again after that word left: the confirmation does not cover it.
+        assert!(block.answers(5 * SECOND, &report(3, 2), true).is_some());
+        block.confirmed(next.id, LEASE);
+        let last = block.tell(7 * SECOND).unwrap();
+        assert_eq!(last.machines, ["m-1"]);
+        block.confirmed(last.id, LEASE);
+        assert!(block.tell(9 * SECOND).unwrap().machines.is_empty());
+    }
+
     #[test]
     fn a_new_leader_hears_of_every_machine_anew() {
         let mut block = block();
         block.follow(5);
-        assert_eq!(block.answers(2 * SECOND, &report(2, 2), true), None);
+        let report = |seq| Report { token: 5, ..report(seq, 2) };
+        assert_eq!(block.answers(2 * SECOND, &report(2), false), None, "its lease was the last leader's");
+        let word = block.tell(2 * SECOND).unwrap();
+        block.confirmed(word.id, LEASE);
+        assert_eq!(block.answers(2 * SECOND, &report(2), true), None);
         // An answer of the last leader's that was under way leases nothing any more.
-        block.leased(report(2, 2), 4, 2 * SECOND, Some(LEASE));
-        assert_eq!(block.answers(2 * SECOND, &report(3, 2), true), None);
+        block.passed(report(2), 4, true);
+        assert_eq!(block.answers(2 * SECOND, &report(3), true), None);
     }
 
     #[test]
     fn a_copy_counts_for_nothing() {
         let mut block = block();
         assert_eq!(block.answers(2 * SECOND, &report(1, 2), true), Some(4));
-        assert!(block.tell(4 * SECOND).is_none(), "the machine was not heard");
+        assert!(block.tell(4 * SECOND).unwrap().machines.is_empty(), "the machine was not heard");
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -36,7 +36,7 @@
     pub record_machines: usize,
     /// Rental requests under way at once.
     pub rentals_at_once: usize,
-    /// For how long a holder may answer for a machine, in microseconds; 0: there are no others.
+    /// For how long a holder may go on by itself, in microseconds; 0: there are no others.
     pub block_lease: u64,
 }
 
@@ -109,6 +109,8 @@
     Heard {
         node: usize,
         machines: Vec<String>,
+        /// Up to then it has answered nobody else; None: the list may be cut short.
+        covers: Option<u64>,
     },
     /// A worker's report in answer to a direct command.
     OrdersAnswered(Report),
@@ -196,6 +198,15 @@
     Deposed(u64),
 }
 
+/// What this leader knows of a holder.
+#[derive(Debug, Default, Clone, Copy)]
+struct Holder {
+    /// Every answer that it gave before then is known here.
+    covered: u64,
+    /// When its lease was last renewed; it may go on for a block lease.
+    confirmed: u64,
+}
+
 pub struct Core {
     pub config: Config,
     pub now: u64,
@@ -229,6 +240,7 @@
     /// When each holder was last out of touch: what reports through it may come another way for a while.
     out_of_touch: BTreeMap<usize, u64>,
     silence: silence::Silence,
+    holders: BTreeMap<usize, Holder>,
     effects: Vec<Effect>,
 }
 
@@ -262,6 +274,7 @@
             kept_alive: now + limits::lengthened(block_lease),
             out_of_touch: BTreeMap::new(),
             silence: silence::Silence::default(),
+            holders: BTreeMap::new(),
             effects: Vec::new(),
         }
     }
@@ -314,7 +327,7 @@
                 }
                 return self.checkin(reply, report, via);
             }
-            Command::Heard { node, machines } => return self.heard_through(node, machines),
+            Command::Heard { node, machines, covers } => return self.heard_through(node, machines, covers),
             Command::OrdersAnswered(report) => {
                 if self.report(report, false) != Taken::News {
                     return;
@@ -542,14 +555,17 @@
         let lease = limits::worker_lease(self.config.workers.lease_s);
         let now = self.now;
         let alive = self.started.max(self.kept_alive);
+        // A holder may have answered anybody since its last word, until its own lease ends.
+        let block_lease = limits::lengthened(self.config.block_lease);
+        let open = self.holders.values().filter(|h| now < h.confirmed + block_lease + lease);
+        let covered = open.map(|h| h.covered).min().unwrap_or(u64::MAX);
         let ended: Vec<String> = self
             .machines
             .values()
+            .filter(|m| m.phase != Phase::Lost)
             // A worker first heard of may have begun its lease as late as then: without its report in the
             // sum, every machine younger than this leader was given up the moment it came up.
-            .filter(|m| {
-                m.phase != Phase::Lost && now >= m.answered.max(m.heard).max(m.kept_until).max(alive) + lease
-            })
+            .filter(|m| now.min(covered) >= m.answered.max(m.heard).max(alive) + lease)
             .filter(|m| m.phase == Phase::Up || !m.tasks.is_empty() || (m.inherited && !m.settled))
             .map(|m| m.name.clone())
             .collect();
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -246,10 +246,10 @@
     pub heard: u64,
     /// The last time an answer may have renewed its lease.
     pub answered: u64,
-    /// The node that its last report came through, if that was not this one, and until when that node may
-    /// answer it by itself.
+    /// The node that its last report came through, if that was not this one, and whether that node answers
+    /// by itself what says nothing new.
     pub via: Option<usize>,
-    pub kept_until: u64,
+    pub kept: bool,
     /// The way that it reported by before, and when it left that one.
     pub left: Option<(Option<usize>, u64)>,
     /// Its holder has been told to pass its next report on.
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -29,7 +29,7 @@
             heard: 0,
             answered: 0,
             via: None,
-            kept_until: 0,
+            kept: false,
             left: None,
             woken: false,
             tasks: BTreeMap::new(),
@@ -403,24 +403,26 @@
                 machine.told.clone_from(&orders);
             }
         }
-        let lease = self.config.block_lease;
+        let blocks = self.config.block_lease > 0;
         let Some(machine) = self.machines.get_mut(name) else { return (orders, false) };
-        let keep = lease > 0 && machine.via.is_some() && orders.is_empty() && machine.calm();
-        let keep = keep && machine.exited.is_empty();
-        if keep {
-            machine.kept_until = machine.kept_until.max(now + limits::lengthened(lease));
-        }
-        (orders, keep)
+        machine.kept = blocks
+            && machine.via.is_some()
+            && orders.is_empty()
+            && machine.calm()
+            && machine.exited.is_empty();
+        (orders, machine.kept)
     }
 
-    /// A holder has answered these machines by itself. Their leases run on; one that there is something
-    /// to tell is to be passed on, whether or not its holder was told so before.
-    pub fn heard_through(&mut self, node: usize, names: Vec<String>) {
+    /// A holder has answered these machines by itself, and nobody else before `covers`. Their leases run on;
+    /// one that there is something to tell is to be passed on, whether or not its holder was told so before.
+    pub fn heard_through(&mut self, node: usize, names: Vec<String>, covers: Option<u64>) {
         let now = self.now;
-        let until = now + limits::lengthened(self.config.block_lease);
+        let holder = self.holders.entry(node).or_default();
+        holder.covered = holder.covered.max(covers.unwrap_or(0));
+        holder.confirmed = now;
         for name in names {
             let Some(machine) = self.machines.get_mut(&name) else { continue };
-            machine.kept_until = machine.kept_until.max(until);
+            machine.answered = now;
             if machine.via != Some(node) {
                 continue;
             }
@@ -434,9 +436,8 @@
 
     /// There is something to tell this machine: its holder is to pass its next report on.
     pub fn wake(&mut self, name: &str) {
-        let now = self.now;
         let Some(machine) = self.machines.get_mut(name) else { return };
-        if let (Some(node), false, true) = (machine.via, machine.woken, machine.kept_until > now) {
+        if let (Some(node), false, true) = (machine.via, machine.woken, machine.kept) {
             machine.woken = true;
             self.effects.push(Effect::Wake { node, machine: name.to_string() });
         }
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -70,7 +70,10 @@
         token: u64,
         entry: u64,
     },
-    Deposed,
+    /// It may keep its workers alive until then, as any holder.
+    Deposed {
+        keep_until: u64,
+    },
 }
 
 #[derive(Debug, Clone)]
@@ -111,7 +114,7 @@
     /// The takeover transaction is under way.
     Taking {
         token: u64,
-        over_lock: bool,
+        by: By,
     },
     /// In a state outage without a leader: keeps workers alive under the last token, by grants of a
     /// majority, and gives no orders.
@@ -126,6 +129,16 @@
     },
 }
 
+/// What shows that nobody else acts, besides the lock being free.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum By {
+    Promises,
+    /// The epoch names this node's own last life.
+    Resuming,
+    /// The lock has been free for longer than anybody may act by peers alone.
+    Time,
+}
+
 pub struct Leadership {
     me: usize,
     names: Vec<String>,
@@ -161,19 +174,15 @@
     /// A worker has checked in with this leader since it was elected.
     reached: bool,
     alone_until: u64,
-    peers_alone: u64,
+    /// How long authority without the state service lasts while others may commit.
+    alone: u64,
+    /// Since when the lock is seen free under this version of the epoch, the state service never lost.
+    unlocked: Option<(u64, u64)>,
     rng: SmallRng,
 }
 
 impl Leadership {
-    pub fn new(
-        names: Vec<String>,
-        me: usize,
-        incarnation: u64,
-        now: u64,
-        peers_alone: u64,
-        seed: u64,
-    ) -> Self {
+    pub fn new(names: Vec<String>, me: usize, incarnation: u64, now: u64, alone: u64, seed: u64) -> Self {
         Leadership {
             me,
             peers: vec![Peer::default(); names.len()],
@@ -202,7 +211,8 @@
             unreached_since: None,
             reached: false,
             alone_until: now,
-            peers_alone,
+            alone,
+            unlocked: None,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -233,7 +243,7 @@
     pub fn authority(&self, now: u64) -> Option<u64> {
         let Role::Leader { token, lease_until, .. } = &self.role else { return None };
         let peers = self.majority_until(!self.amnesiac(now), |p| p.granted).min(now + limits::GRANT);
-        let alone_ok = now < lease_until + self.peers_alone || self.all_without_state(now);
+        let alone_ok = now < lease_until + self.alone || self.all_without_state(now);
         let until = if alone_ok { peers.max(*lease_until) } else { *lease_until };
         (now + limits::GUARD < until).then_some(*token)
     }
@@ -244,9 +254,30 @@
         (now + limits::GUARD < self.care_until(now)).then_some(token)
     }
 
+    /// Unless every member attests that it can't commit, a withdrawal may pass the caretaker by: a zone cut
+    /// off with a majority in it would keep a withdrawn job's tasks alive for as long as it is cut.
     fn care_until(&self, now: u64) -> u64 {
         let granted = self.majority_until(!self.amnesiac(now), |p| p.granted).min(now + limits::GRANT);
-        granted.max(self.promises_until(now))
+        let until = granted.max(self.promises_until(now));
+        if self.all_without_state(now) {
+            until
+        } else {
+            until.min(self.alone_from_state(now))
+        }
+    }
+
+    /// Until when this node may keep workers alive by what it knew when the state service last answered.
+    fn alone_from_state(&self, now: u64) -> u64 {
+        now.saturating_sub(self.status.state_age) + shortened(self.alone)
+    }
+
+    /// How long a holder that this leader has heard may go on by itself.
+    pub fn block_lease(&self, now: u64) -> u64 {
+        let Role::Leader { lease_until, .. } = &self.role else { return 0 };
+        if self.all_without_state(now) {
+            return self.alone;
+        }
+        (lease_until + self.alone).saturating_sub(now).min(self.alone)
     }
 
     /// The last time at which a caretaker may have kept workers alive beside this leader: until now
@@ -404,15 +435,16 @@
     }
 
     fn step_down(&mut self, now: u64, actions: &mut Vec<Action>) {
-        if let Role::Leader { permit: Some(permit), .. } = self.role {
-            actions.push(Action::Release { permit });
+        if let Role::Leader { permit, lease_until, .. } = self.role {
+            actions.extend(permit.map(|permit| Action::Release { permit }));
+            // Counted from when it surely acted: it may have stood still since.
+            actions.push(Action::Deposed { keep_until: now.min(lease_until) + shortened(self.alone) });
         }
         self.role = Role::Follower;
         self.leader = None;
         self.unreached_since = None;
         self.probe_due = now;
         self.peers.iter_mut().for_each(|p| p.granted = 0);
-        actions.push(Action::Deposed);
     }
 
     /// A worker or peer has shown a higher token.
@@ -451,10 +483,14 @@
             self.role = Role::Follower;
             self.campaign_due = now;
         }
+        if self.state_lost() {
+            self.unlocked = None;
+        }
         if matches!(self.role, Role::Taking { .. }) || calm || now < self.campaign_due {
             return;
         }
-        let outage = self.state_lost() && self.token > 0 && !self.peer_has_state(now);
+        let may_care = self.all_without_state(now) || now + limits::GRANT < self.alone_from_state(now);
+        let outage = self.state_lost() && self.token > 0 && !self.peer_has_state(now) && may_care;
         if !(readable || outage) || self.grant_out.is_some_and(|(_, until)| now < until) {
             return;
         }
@@ -465,6 +501,11 @@
         if !self.amnesiac(now) {
             self.promise_out = Some((self.me, now + lengthened(limits::GRANT)));
         }
+        if let (Some((entry, since)), true) = (self.unlocked, readable) {
+            if now >= since + self.by_time() {
+                return self.take(entry, By::Time, actions);
+            }
+        }
         self.campaigning = true;
         debug!("campaigning");
         let request = Message::PromiseRequest { sent: now };
@@ -472,6 +513,13 @@
         self.try_take(now, actions);
     }
 
+    /// How long the lock must be seen free before whoever held it can act by peers alone no more: its own
+    /// bound, as long again as a peer's word is believed (ours, that we had no state service either, may have
+    /// been held on its way), and a grant's time.
+    fn by_time(&self) -> u64 {
+        lengthened(self.alone) + limits::PEER_WORD + limits::GRANT
+    }
+
     fn state_lost(&self) -> bool {
         self.status.state_age >= limits::STATE_LOST
     }
@@ -503,16 +551,16 @@
             return;
         }
         let entry = self.epoch.as_ref().map_or(0, |(_, entry)| *entry);
-        self.take(entry, false, actions);
+        self.take(entry, By::Promises, actions);
     }
 
-    fn take(&mut self, entry: u64, over_lock: bool, actions: &mut Vec<Action>) {
+    fn take(&mut self, entry: u64, by: By, actions: &mut Vec<Action>) {
         let known = self.epoch.as_ref().map_or(0, |(epoch, _)| epoch.token);
         let token = known.max(self.token) + 1;
         self.campaigning = false;
-        self.role = Role::Taking { token, over_lock };
-        info!(token, over_lock, "taking over");
-        actions.push(Action::TakeOver { token, entry, over_lock });
+        self.role = Role::Taking { token, by };
+        info!(token, ?by, "taking over");
+        actions.push(Action::TakeOver { token, entry, over_lock: by == By::Resuming });
     }
 
     pub fn message(&mut self, now: u64, from: usize, status: Status, message: Message) -> Vec<Action> {
@@ -615,13 +663,14 @@
         match answer {
             StoreAnswer::Probed { epoch, locked } => self.probed(now, epoch, locked, &mut actions),
             StoreAnswer::Won { permit, entry, lease_sent } => {
-                let Role::Taking { token, over_lock } = self.role else {
+                let Role::Taking { token, by } = self.role else {
                     actions.push(Action::Release { permit });
                     return actions;
                 };
                 let lease_until = lease_sent + shortened(limits::LOCK_LEASE_MS * 1_000);
                 // The commit must have been answered while the promises still run.
-                if !over_lock && self.promises_until(now) <= now || lease_until <= now + limits::GUARD {
+                let promised = by != By::Promises || self.promises_until(now) > now;
+                if !promised || lease_until <= now + limits::GUARD {
                     info!("won too late, starting over");
                     self.role = Role::Follower;
                     actions.push(Action::Release { permit });
@@ -684,6 +733,9 @@
         // Another's epoch: this leader has been followed.
         self.epoch = epoch;
         self.locked = locked;
+        let entry = self.epoch.as_ref().map_or(0, |(_, entry)| *entry);
+        let since = self.unlocked.filter(|(at, _)| *at == entry).map_or(now, |(_, since)| since);
+        self.unlocked = (!locked).then_some((entry, since));
         self.probed = true;
         self.probed_at = now;
         if let Role::Leader { permit: None, .. } = self.role {
@@ -702,7 +754,7 @@
         };
         // The epoch names this very node before it restarted: that process is dead, and nobody acts.
         if let (Some(entry), true, Role::Follower) = (resume, self.may_resume, &self.role) {
-            self.take(entry, true, actions);
+            self.take(entry, By::Resuming, actions);
         }
     }
 }
--- a/src/leadership_tests.rs
+++ b/src/leadership_tests.rs
@@ -134,7 +134,7 @@
                     }
                 }
                 Action::Elected { token, .. } => self.tokens.push((token, node, self.now)),
-                Action::Deposed => {}
+                Action::Deposed { .. } => {}
                 action => {
                     let (life, sent) = (self.nodes[node].life, self.local(node));
                     let delay = self.delay();
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -39,11 +39,13 @@
 /// A leader that gave up because nobody reached it lets the others try first.
 pub const ABDICATION_PAUSE: u64 = 6_000_000;
 
-/// How long authority from peers alone lasts while some member cannot attest that it cannot commit
-/// either: a cancellation committed there must still reach every task within `cancel_s`, and the
-/// tasks of a machine nobody answers die within `lease_s`.
-pub fn peers_alone(cancel_s: f64, lease_s: f64) -> u64 {
-    micros((cancel_s - lease_s) / 2.0)
+/// How long workers may be kept alive, by whom ever, once a withdrawal may pass those who do so by: leaders by
+/// their peers alone while not every member attests that it can't commit either, caretakers, and holders that
+/// hear no leader. A worker answered at the very end lives for its lease, and all must be gone `cancel_s` after
+/// the user was told. Taken off besides: the state lease, by which the leader could not miss it longer, a
+/// report's interval with what a command needs to reach its worker, and the lateness of a worker's own end.
+pub fn alone(cancel_s: f64, lease_s: f64, report_s: f64) -> u64 {
+    micros(cancel_s - lease_s - report_s).saturating_sub(LOCK_LEASE_MS * 1_000 + LEASE_MARGIN + SECOND)
 }
 
 /// A time as the side counts it that must stop first.
@@ -58,17 +60,13 @@
 
 // ---- blocks ----
 
-/// How long a holder may answer for a machine after the leader was told of it: two reports and a change of
-/// leader with its pauses.
-pub fn block_lease(report_s: f64) -> u64 {
-    micros(report_s * 2.0) + 6_000_000
-}
-
 /// A holder tells the leader this often which machines it answered.
 pub const BLOCK_TELL: u64 = 1_000_000;
-/// A worker with news that no leader takes is sent to the other nodes once in this time: two of them, a
-/// second's pause each, and a hang at one.
+/// A worker with news that no leader takes is sent to the other nodes again this long after it came back: it
+/// may be away for a hang of four seconds and a pause of one at two of them, and its lease must outlast that.
 pub const BLOCK_RETRY: u64 = 8_000_000;
+/// Bytes of machine names in one word to the leader: a frame holds 64 KiB.
+pub const BLOCK_WORD: usize = 60 * 1024;
 /// Words to the leader without confirmation that are remembered.
 pub const BLOCK_UNCONFIRMED: usize = 8;
 /// Machines that one holder keeps: some 300 bytes each.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -14,7 +14,7 @@
 use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
 
 /// The last digits are the version of these layouts.
-const MAGIC: u32 = 0x444b_5002;
+const MAGIC: u32 = 0x444b_5003;
 
 /// The head of every frame; `length` bytes follow it.
 #[derive(Debug, Clone, Copy, FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
@@ -126,10 +126,14 @@
     Heard {
         id: u64,
         stamp: u64,
+        /// These are all that were answered since the last word that was confirmed.
+        whole: bool,
         machines: Vec<String>,
     },
+    /// The leader has taken note: the holder may go on by itself for so long.
     Confirmed {
         id: u64,
+        lease_ms: u32,
     },
 }
 
@@ -354,11 +358,14 @@
             head.kind = WAKE;
             write_names(machines, &mut body);
         }
-        Payload::Heard { id, stamp, machines } => {
+        Payload::Heard { id, stamp, whole, machines } => {
             (head.kind, head.stamp, head.state_age) = (HEARD, (*id).into(), (*stamp).into());
+            head.workers = u32::from(*whole).into();
             write_names(machines, &mut body);
         }
-        Payload::Confirmed { id } => (head.kind, head.stamp) = (CONFIRMED, (*id).into()),
+        Payload::Confirmed { id, lease_ms } => {
+            (head.kind, head.stamp, head.workers) = (CONFIRMED, (*id).into(), (*lease_ms).into());
+        }
     }
     head.length = (body.len() as u32).into();
     let mut bytes = head.as_bytes().to_vec();
@@ -409,8 +416,11 @@
             Payload::Reply { id: stamp, token, keep: head.workers.get() != 0, orders }
         }
         WAKE => Payload::Wake(read_names(rest)?),
-        HEARD => Payload::Heard { id: stamp, stamp: time, machines: read_names(rest)? },
-        _ => Payload::Confirmed { id: stamp },
+        HEARD => {
+            let whole = head.workers.get() != 0;
+            Payload::Heard { id: stamp, stamp: time, whole, machines: read_names(rest)? }
+        }
+        _ => Payload::Confirmed { id: stamp, lease_ms: head.workers.get() },
     };
     Ok((head.node.into(), head.incarnation.get(), head.sequence.get(), payload))
 }
@@ -590,7 +600,8 @@
             panic!()
         };
         assert_eq!(back, orders);
-        let heard = Payload::Heard { id: 3, stamp: 4, machines: vec!["m-1".into(), "m-22".into()] };
+        let heard =
+            Payload::Heard { id: 3, stamp: 4, whole: true, machines: vec!["m-1".into(), "m-22".into()] };
         let heard = encode(sender, 3, &heard);
         assert!(matches!(decode(&heard).unwrap().3, Payload::Heard { machines, .. } if machines.len() == 2));
         // A frame whose head promises less than its body holds is refused as well as a short one.
--- a/src/server.rs
+++ b/src/server.rs
@@ -1,7 +1,7 @@
 //! Wires everything up: the queue of events into leadership and core, their effects out.
 
 use crate::api::{self, Api, Summary, Types};
-use crate::blocks::Block;
+use crate::blocks::{Block, Word};
 use crate::cloud::{self, Cloud};
 use crate::core::model::{Report, Uid};
 use crate::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob, StoredMachine};
@@ -150,9 +150,10 @@
     });
 
     let now = clock.now();
-    let peers_alone = limits::peers_alone(deployment.workers.cancel_s, deployment.workers.lease_s);
+    let workers = &deployment.workers;
+    let alone = limits::alone(workers.cancel_s, workers.lease_s, workers.report_s);
     let seed = sender.incarnation;
-    let leadership = Leadership::new(names, me, sender.incarnation, now, peers_alone, seed);
+    let leadership = Leadership::new(names, me, sender.incarnation, now, alone, seed);
     let hub = Hub {
         config: Config {
             token: 0,
@@ -168,7 +169,7 @@
             rentals_at_once: limits::rentals_at_once(deployment.cloud.rps),
             block_lease: match settings.members.len() {
                 0 => 0,
-                _ => limits::block_lease(deployment.workers.report_s),
+                _ => alone,
             },
         },
         settings,
@@ -389,17 +390,17 @@
                 self.replies.insert(self.next_reply, ReplyTo::Holder(from, id));
                 commands.push(Command::Checkin { reply: self.next_reply, report, via: Some(from) });
             }
-            Payload::Heard { id, stamp, machines } if leads && fresh(stamp) => {
+            Payload::Heard { id, stamp, whole, machines } if leads && fresh(stamp) => {
                 self.checkins.push_back(now);
-                commands.push(Command::Heard { node: from, machines });
-                self.send(from, Payload::Confirmed { id });
+                commands.push(Command::Heard { node: from, machines, covers: whole.then_some(stamp) });
+                let lease_ms = (self.leadership.block_lease(now) / 1_000) as u32;
+                self.send(from, Payload::Confirmed { id, lease_ms });
             }
             Payload::Reply { id, token, keep, orders } => {
-                let Some(PassedOn { to, report, sent }) = self.passed_on.remove(&id) else { return };
+                let Some(PassedOn { to, report, .. }) = self.passed_on.remove(&id) else { return };
                 let reply = match token {
                     Some(helm) => {
-                        let lease = keep.then_some(self.config.block_lease);
-                        self.block.leased(report, helm, sent, lease);
+                        self.block.passed(report, helm, keep);
                         let signals = orders.iter().map(worker::signal).collect();
                         CheckinReply::Orders(CheckinAnswer { helm, signals })
                     }
@@ -408,7 +409,9 @@
                 let _ = to.send(reply);
             }
             Payload::Wake(machines) => self.block.wake(&machines),
-            Payload::Confirmed { id } => self.block.confirmed(id, self.config.block_lease),
+            Payload::Confirmed { id, lease_ms } => {
+                self.block.confirmed(id, (u64::from(lease_ms) * 1_000).min(self.config.block_lease));
+            }
             _ => {}
         }
     }
@@ -418,8 +421,8 @@
         let followed = self.leadership.followed(now);
         if let Some((leader, token, stamp)) = followed {
             self.block.follow(token);
-            if let Some((id, machines)) = self.block.tell(now) {
-                self.send(leader, Payload::Heard { id, stamp, machines });
+            if let Some(Word { id, whole, machines }) = self.block.tell(now) {
+                self.send(leader, Payload::Heard { id, stamp, whole, machines });
             }
         }
         while let Some(entry) = self.passed_on.first_entry() {
@@ -578,7 +581,11 @@
                     tokio::spawn(async move { store.release(permit).await });
                 }
                 Action::Elected { token, entry } => self.elected(token, entry),
-                Action::Deposed => self.deposed(),
+                Action::Deposed { keep_until } => {
+                    // Its workers are a block now like any other's.
+                    self.block.led(self.config.token, keep_until);
+                    self.deposed();
+                }
             }
         }
     }
--- a/tests/core_rules.rs
+++ b/tests/core_rules.rs
@@ -2,7 +2,7 @@
 //! lost, reports that arrive late, machines that die, changes of leader. The model keeps the truth and
 //! checks the protocol's rules against it after every step; virtual time, fixed seeds.
 
-use dockpier::blocks::Block;
+use dockpier::blocks::{Block, Word};
 use dockpier::core::model::*;
 use dockpier::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob, StoredMachine};
 use dockpier::limits::{self, SECOND};
@@ -13,6 +13,7 @@
 
 const LEASE_S: f64 = 10.0;
 const STEP: u64 = 100_000;
+const BLOCK_LEASE: u64 = 8 * SECOND;
 
 fn config(token: u64, gpus_max: f64) -> Config {
     Config {
@@ -27,7 +28,7 @@
         write_rps: 1000.0,
         record_machines: 3,
         rentals_at_once: 10,
-        block_lease: limits::block_lease(1.0),
+        block_lease: BLOCK_LEASE,
     }
 }
 
@@ -111,8 +112,8 @@
     gpus_max: f64,
     workers: BTreeMap<String, Worker>,
     holders: Vec<Holder>,
-    /// Reports that holders passed on, by number: which worker's, when.
-    passed_on: BTreeMap<u64, (usize, Report, u64)>,
+    /// Reports that holders passed on, by number.
+    passed_on: BTreeMap<u64, (usize, Report)>,
     answered_by_holders: u64,
     cloud_down_until: u64,
     specs: BTreeMap<Uid, JobSpec>,
@@ -299,7 +300,7 @@
                         worker.via = None;
                         continue;
                     }
-                    self.passed_on.insert(reply, (node, report.clone(), now));
+                    self.passed_on.insert(reply, (node, report.clone()));
                 }
                 self.replies.insert(reply, name.clone());
                 batch.push(Command::Checkin { reply, report, via });
@@ -323,11 +324,14 @@
                 continue;
             }
             holder.block.follow(token);
-            if let Some((id, machines)) = holder.block.tell(now) {
-                batch.push(Command::Heard { node, machines });
-                // The confirmation may be lost; the lease then simply ends earlier here.
+            if let Some(Word { id, whole, machines }) = holder.block.tell(now) {
+                // A word may be lost with its connection, and so may its confirmation: the next one repeats it.
+                if self.rng.random_bool(0.1) {
+                    continue;
+                }
+                batch.push(Command::Heard { node, machines, covers: whole.then_some(now) });
                 if self.rng.random_bool(0.9) {
-                    holder.block.confirmed(id, limits::block_lease(1.0));
+                    holder.block.confirmed(id, BLOCK_LEASE);
                 }
             }
         }
@@ -338,13 +342,12 @@
         match effect {
             Effect::Answer { reply, orders, keep } => {
                 let Some(name) = self.replies.remove(&reply) else { return };
-                if let Some((node, report, sent)) = self.passed_on.remove(&reply) {
+                if let Some((node, report)) = self.passed_on.remove(&reply) {
                     let holder = &mut self.holders[node];
                     if self.now < holder.cut_until {
                         return;
                     }
-                    let lease = keep.then_some(limits::block_lease(1.0));
-                    holder.block.leased(report, self.token, sent, lease);
+                    holder.block.passed(report, self.token, keep);
                 }
                 // Some answers are lost on their way.
                 if self.rng.random_bool(0.05) {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -265,7 +265,7 @@
 #[test]
 fn machines_that_do_not_hear_us_through_a_holder_are_not_deaf() {
     let mut fleet = Fleet::new(12);
-    fleet.core.config.block_lease = limits::block_lease(4.0);
+    fleet.core.config.block_lease = 14 * SECOND;
     fleet.via = Some(1);
     (0..2).for_each(|_| fleet.report());
     fleet.deaf.extend((0..2).map(name));
@@ -279,7 +279,7 @@
 #[test]
 fn a_lost_holder_does_not_take_its_block_with_it() {
     let mut fleet = Fleet::new(MACHINES);
-    fleet.core.config.block_lease = limits::block_lease(4.0);
+    fleet.core.config.block_lease = 14 * SECOND;
     fleet.via = Some(1);
     fleet.submit(spec(1, Kind::Array, Priority::Normal, MACHINES as u32 * SLOTS as u32));
     (0..3).for_each(|_| fleet.report());
