--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -364,10 +364,7 @@
         let taken = self.report(report, true);
         let now = self.now;
         if let Some(machine) = self.machines.get_mut(&name).filter(|_| taken != Taken::Late) {
-            if machine.via != via {
-                machine.left = Some((machine.via, now));
-                machine.via = via;
-            }
+            machine.comes_by(via, now);
         }
         match taken {
             Taken::News => {
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -423,12 +423,12 @@
         for name in names {
             let Some(machine) = self.machines.get_mut(&name) else { continue };
             machine.answered = now;
-            if machine.via != Some(node) {
-                continue;
-            }
             machine.heard = now;
-            if !machine.calm() {
-                machine.woken = false;
+            // Come back to a holder that still knew it, it says nothing new there, and was taken for silent on
+            // the way that it had left; what it did elsewhere meanwhile the holder can't tell.
+            let came = machine.comes_by(Some(node), now);
+            if came || !machine.calm() {
+                (machine.woken, machine.kept) = (false, true);
                 self.wake(&name);
             }
         }
@@ -461,6 +461,16 @@
 }
 
 impl Machine {
+    /// Its report came this way. Returns whether that is another way than before.
+    pub fn comes_by(&mut self, way: Option<usize>, now: u64) -> bool {
+        let other = self.via != way;
+        if other {
+            self.left = Some((self.via, now));
+            self.via = way;
+        }
+        other
+    }
+
     /// A machine whose reports arrive may be deaf: no answer and no command reaches it. It shows when
     /// reports running bear no trace of anything that the answers before them said.
     fn judge_hearing(&mut self, report: &Report, token: u64) {
--- a/src/core/silence.rs
+++ b/src/core/silence.rs
@@ -155,6 +155,9 @@
             if now < wait || too_many(quiet, block) {
                 continue;
             }
+            if quiet > 0 {
+                info!(?way, quiet, block, dark = light.dark, "machines given up");
+            }
             up.extend(here.iter().filter(|m| silent(m) || m.deaf).map(|m| m.name));
         }
         up
