--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -10,6 +10,7 @@
 use super::Core;
 use crate::limits;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use tracing::debug;
 
 const GAP: &str = "rescale gap";
@@ -29,6 +30,8 @@
     kept: i64,
     /// The least important class of which an array holds anything.
     lowest: Option<Priority>,
+    /// In which order jobs yield, worked out when somebody asks for it.
+    yielding: Option<Arc<[Uid]>>,
 }
 
 impl Room {
@@ -65,23 +68,41 @@
     /// that still grow, and a job short of its width would yield after an earlier one that has all.
     ///
     /// A deadline makes a job age faster, by one class until it falls due; one that is late already leaves
-    /// the room to those that can still be in time. A job of which nothing has begun for long ages fastest.
+    /// the room to those that can still be in time. Either rate goes by the work that is left: when more waits
+    /// than can be served, first come first served makes all alike late, and the short ones are the many. A
+    /// job of which nothing has begun for long ages fastest, so that the widest are not put off for ever.
     pub fn rank(&self, job: &Job) -> u64 {
-        let rank = self.plain_rank(job);
+        let rank = self.plain_rank(job, self.size(job));
         if job.begun() || job.spec.priority == Priority::Critical {
             return rank;
         }
         rank.max(self.aged(job, job.arrived + limits::BEGIN_AFTER, limits::BEGIN_AGING))
     }
 
-    fn plain_rank(&self, job: &Job) -> u64 {
+    fn plain_rank(&self, job: &Job, size: f64) -> u64 {
         if job.spec.priority == Priority::Critical {
             return Priority::Critical as u64 * 1000;
         }
         let age = self.now.saturating_sub(job.arrived);
-        let aging = limits::micros(self.config.operator.aging_s).max(1);
+        let aging = limits::micros(self.config.operator.aging_s);
         let due = job.spec.deadline_s.map(limits::micros).filter(|due| *due > 0 && age <= *due);
-        self.aged(job, job.arrived, due.map_or(aging, |due| aging.min(due)))
+        let aging = due.map_or(aging, |due| aging.min(due)) as f64 * size;
+        self.aged(job, job.arrived, (aging as u64).max(1))
+    }
+
+    /// How much work is left of a job, as a multiple of what a job brings on average now.
+    fn size(&self, job: &Job) -> f64 {
+        if self.typical_work <= 0.0 {
+            return 1.0;
+        }
+        let size = job.work(job.unfinished()) / self.typical_work;
+        size.clamp(1.0 / limits::SIZE_RANGE, limits::SIZE_RANGE)
+    }
+
+    fn note_typical_work(&mut self) {
+        let elastic = self.jobs.values().filter(|j| !j.over && j.spec.kind != Kind::Service);
+        let works: Vec<f64> = elastic.map(|j| j.work(j.spec.tasks)).collect();
+        self.typical_work = works.iter().sum::<f64>() / works.len().max(1) as f64;
     }
 
     /// The rank of a job that gains a class in `aging` from `since` on; age never lifts anybody above
@@ -95,6 +116,17 @@
         job.rescaled > 0 && self.now < job.rescaled + limits::micros(self.config.operator.rescale_gap_s)
     }
 
+    /// The order in which jobs yield: lowest class with its age first, the latest first on ties. The work that
+    /// is left does not count here: it would make the long jobs feed everybody else.
+    fn yielding(&self) -> Arc<[Uid]> {
+        let running = self.jobs.values().filter(|j| !j.over && !j.places.is_empty());
+        let mut order: Vec<_> = running
+            .map(|j| (self.plain_rank(j, 1.0), std::cmp::Reverse((j.arrived, j.entry)), j.spec.uid))
+            .collect();
+        order.sort();
+        order.into_iter().map(|(_, _, uid)| uid).collect()
+    }
+
     /// The order of a round: highest aged priority first, earlier first on ties.
     fn order(&self) -> Vec<Uid> {
         let mut order: Vec<_> = self
@@ -122,6 +154,7 @@
                 .filter(|j| j.spec.kind == Kind::Array && !j.places.is_empty())
                 .map(|j| j.spec.priority)
                 .min(),
+            yielding: None,
         };
         for machine in self.machines.values() {
             *probes += 1;
@@ -147,6 +180,7 @@
 
     /// One round within its budget of probes. What it could not reach is taken up by the next round.
     pub fn round(&mut self) {
+        self.note_typical_work();
         let order = self.order();
         let mut probes = 0;
         let mut room = self.room(&order, &mut probes);
@@ -161,13 +195,13 @@
                 break;
             }
             probes += 1;
-            self.consider(*uid, &order, false, &mut room, &mut probes);
+            self.consider(*uid, false, &mut room, &mut probes);
         }
         // Room that no job outside the gap takes would lie idle: it goes to those inside.
         for uid in order {
             let in_gap = self.jobs.get(&uid).is_some_and(|j| j.waits_for == GAP && !j.waiting.is_empty());
             if in_gap && probes < budget && !room.free.is_empty() {
-                self.consider(uid, &[], true, &mut room, &mut probes);
+                self.consider(uid, true, &mut room, &mut probes);
             }
         }
         self.probes += probes as u64;
@@ -186,7 +220,7 @@
         }
     }
 
-    fn consider(&mut self, uid: Uid, order: &[Uid], leftover: bool, room: &mut Room, probes: &mut usize) {
+    fn consider(&mut self, uid: Uid, leftover: bool, room: &mut Room, probes: &mut usize) {
         let Some(job) = self.jobs.get(&uid) else { return };
         if job.waiting.is_empty() {
             return;
@@ -224,7 +258,9 @@
         }
         let want = if limited { want.min(self.team_room(job)) } else { want };
         // What only its wait for a beginning has earned is a beginning; more comes by its plain rank.
-        let hurried = !leftover && job.spec.kind == Kind::Array && self.rank(job) > self.plain_rank(job);
+        let hurried = !leftover
+            && job.spec.kind == Kind::Array
+            && self.rank(job) > self.plain_rank(job, self.size(job));
         let want = if hurried { want.min(job.minimum()) } else { want };
         // A gang within whose team's limit only a part of it fits would start in part, be stopped as
         // incomplete, and keep others out with it, again and again.
@@ -260,9 +296,9 @@
         let held = job.places.len() as u32;
         let missing = job.minimum().saturating_sub(held).max(1).min(job.waiting.len() as u32);
         let service = job.spec.kind == Kind::Service;
-        if !self.shrink_for(uid, missing, order, room, probes) && service && missing > 1 {
+        if !self.shrink_for(uid, missing, room, probes) && service && missing > 1 {
             // Its replicas serve each by itself: one is better than none.
-            self.shrink_for(uid, 1, order, room, probes);
+            self.shrink_for(uid, 1, room, probes);
         }
     }
 
@@ -353,14 +389,7 @@
 
     /// Stops the newest tasks of lower jobs, lowest first, if together that frees `missing` slots.
     /// Returns whether that room is under way.
-    fn shrink_for(
-        &mut self,
-        uid: Uid,
-        missing: u32,
-        order: &[Uid],
-        room: &mut Room,
-        probes: &mut usize,
-    ) -> bool {
+    fn shrink_for(&mut self, uid: Uid, missing: u32, room: &mut Room, probes: &mut usize) -> bool {
         let Some(job) = self.jobs.get(&uid) else { return false };
         let needs = job.spec.needs;
         // Room that stops under way will free counts as found, so that nobody shrinks twice for it.
@@ -386,9 +415,10 @@
             Priority::Critical => &[(true, true), (false, true), (false, false)],
             _ => &[(true, true)],
         };
+        let order = room.yielding.get_or_insert_with(|| self.yielding()).clone();
         let chosen = stages.iter().find_map(|(gap, minimum)| {
             let mut soon = soon.clone();
-            let stops = self.victims(job, missing, order, &mut soon, (*gap, *minimum), probes);
+            let stops = self.victims(job, missing, &order, &mut soon, (*gap, *minimum), probes);
             let targets = self.find(job, missing, false, &soon, probes);
             (targets.len() as u32 >= missing).then_some((stops, targets))
         });
@@ -429,7 +459,7 @@
         probes: &mut usize,
     ) -> Vec<(String, TaskId)> {
         let mut stops = Vec::new();
-        for victim in order.iter().rev().filter_map(|v| self.jobs.get(v)) {
+        for victim in order.iter().filter_map(|v| self.jobs.get(v)) {
             *probes += 1;
             if victim.places.is_empty() || gap && self.in_gap(victim) || !self.may_preempt(job, victim) {
                 continue;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -241,6 +241,8 @@
     out_of_touch: BTreeMap<usize, u64>,
     silence: silence::Silence,
     holders: BTreeMap<usize, Holder>,
+    /// Work of a job on average, as of the last round.
+    typical_work: f64,
     effects: Vec<Effect>,
 }
 
@@ -275,6 +277,7 @@
             out_of_touch: BTreeMap::new(),
             silence: silence::Silence::default(),
             holders: BTreeMap::new(),
+            typical_work: 0.0,
             effects: Vec::new(),
         }
     }
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -396,6 +396,11 @@
         self.spec.tasks - self.done.len() as u32
     }
 
+    /// What so many of its tasks take, by their owner's estimate, in seconds of one slot.
+    pub fn work(&self, tasks: u32) -> f64 {
+        f64::from(tasks) * self.spec.estimate_s.max(1.0)
+    }
+
     /// The least number of tasks that it starts with. Replicas serve their users each by itself, so
     /// those of a service start as they find room, though its width stays what it is.
     pub fn admission(&self) -> u32 {
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -143,6 +143,9 @@
 /// widest jobs of a class begin within four (the users' rule), also behind a stream of narrow ones.
 pub const BEGIN_AFTER: u64 = 90_000_000;
 pub const BEGIN_AGING: u64 = 30_000_000;
+/// A job ages by its size against the average, at most so many times faster or slower: owners' estimates are
+/// often wrong by half, and a job of a single task must not pass all others at once.
+pub const SIZE_RANGE: f64 = 10.0;
 /// A round without news runs this often, for gaps and ages that have run out.
 pub const ROUND_IDLE: u64 = 500_000;
 /// A job waits this long for machines that are fetching other images; then it shares their rate, so that a
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -341,6 +341,36 @@
     }
 }
 
+/// First come, first served made all jobs of a burst alike late. The short ones pass, and the long one still
+/// gets its turn: it ages too, only slower.
+#[test]
+fn of_jobs_that_wait_the_one_with_less_work_left_goes_first_but_not_for_ever() {
+    let mut fleet = Fleet::new(1);
+    let array = |uid, tasks| spec(uid, Kind::Array, Priority::Low, tasks);
+    fleet.submit(array(1, 4));
+    fleet.report();
+    // The fleet is full. The long job comes first, the short one later.
+    fleet.submit(array(2, 200));
+    fleet.report();
+    fleet.submit(array(3, 2));
+    (0..2).for_each(|_| fleet.report());
+    fleet.finish(1);
+    fleet.report();
+    assert_eq!((fleet.width(2), fleet.width(3)), (0, 2));
+    fleet.report();
+    assert_eq!(fleet.width(2), 2);
+    // An endless row of short ones does not keep the long one out.
+    fleet.finish(3);
+    fleet.finish(2);
+    fleet.submit(array(4, 200));
+    for uid in 10..70 {
+        fleet.submit(array(uid, 2));
+        fleet.report();
+        fleet.finish(uid.saturating_sub(2));
+    }
+    assert!(fleet.width(4) > 0);
+}
+
 /// Four images fetched together on one machine were all there after four fetches; one after the other, the
 /// first is there after one. A fetch that hangs must keep nobody out for ever.
 #[test]
