Capacities follow the settings; what stood still sends nothing; silence tested as a table of cases

Queues, frames, turns of users, orders and caches follow max_sockets and memory_mb; polls no longer take the turns of submissions. Rentals, deletions and orders ask for authority right before they leave. Of many that fall silent together the first were given up before they were too many: the late ones count now (found by the table of cases). Names of gone machines are kept for an hour, machines that left a holder for a minute.

--- a/src/api.rs
+++ b/src/api.rs
@@ -16,7 +16,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use tokio::sync::{mpsc, oneshot, watch, Semaphore};
+use tokio::sync::{mpsc, oneshot, watch, Semaphore, SemaphorePermit};
 use tracing::{debug, info, warn};
 
 pub type Types = Arc<BTreeMap<String, MachineType>>;
@@ -30,6 +30,14 @@
     order: VecDeque<Uid>,
 }
 
+/// What the owner of the state thinks of this node.
+#[derive(Default)]
+pub struct Health {
+    pub healthy: AtomicBool,
+    /// The state service does not answer this node, and others may fare better.
+    pub cut_off: AtomicBool,
+}
+
 pub struct Api {
     pub store: Store,
     live: Live,
@@ -37,10 +45,11 @@
     pub types: watch::Receiver<Types>,
     pub summary: watch::Receiver<Summary>,
     pub events: mpsc::Sender<Event>,
-    pub healthy: Arc<AtomicBool>,
-    /// The state service does not answer this node, and others may fare better.
-    pub cut_off: Arc<AtomicBool>,
-    pub users: Semaphore,
+    pub health: Arc<Health>,
+    /// Turns of submissions and withdrawals, and of polls.
+    changes: Semaphore,
+    polls: Semaphore,
+    over_most: usize,
     over: Mutex<OverCache>,
 }
 
@@ -100,21 +109,31 @@
         types: watch::Receiver<Types>,
         summary: watch::Receiver<Summary>,
         events: mpsc::Sender<Event>,
-        healthy: Arc<AtomicBool>,
-        cut_off: Arc<AtomicBool>,
+        health: Arc<Health>,
+        room: limits::Capacity,
     ) -> Self {
-        let users = Semaphore::new(limits::USERS_AT_ONCE);
-        let live = Live::start(store.clone());
-        Api { store, live, teams, types, summary, events, healthy, cut_off, users, over: Mutex::default() }
+        Api {
+            live: Live::start(store.clone(), room.polls + room.changes),
+            store,
+            teams,
+            types,
+            summary,
+            events,
+            health,
+            changes: Semaphore::new(room.changes),
+            polls: Semaphore::new(room.polls),
+            over_most: room.over,
+            over: Mutex::default(),
+        }
     }
 
     /// A user's turn, which is not waited for. A node that is cut off from the state service sends its
     /// users elsewhere at once instead of letting them wait for it.
-    fn admit(&self) -> Result<tokio::sync::SemaphorePermit<'_>, Refusal> {
-        if self.cut_off.load(Ordering::Relaxed) {
+    fn admit<'a>(&self, turns: &'a Semaphore) -> Result<SemaphorePermit<'a>, Refusal> {
+        if self.health.cut_off.load(Ordering::Relaxed) {
             return Err(Refusal::Later("this node is cut off from the state service".into()));
         }
-        self.users.try_acquire().map_err(|_| Refusal::Later("too many requests at once".into()))
+        turns.try_acquire().map_err(|_| Refusal::Later("too many requests at once".into()))
     }
 
     /// A request to the state service for one user alone, within the node's share of its limit.
@@ -127,7 +146,7 @@
         let Ok(mut over) = self.over.lock() else { return };
         if over.known.insert(uid, state.clone()).is_none() {
             over.order.push_back(uid);
-            if over.order.len() > limits::OVER_CACHE {
+            if over.order.len() > self.over_most {
                 if let Some(oldest) = over.order.pop_front() {
                     over.known.remove(&oldest);
                 }
@@ -195,7 +214,7 @@
         let bytes = read_body(body).await?;
         let submission: Submission = wire::parse(&bytes).map_err(Refusal::Malformed)?;
         let job = submission.check().map_err(Refusal::Malformed)?;
-        let _turn = self.admit()?;
+        let _turn = self.admit(&self.changes)?;
         let never = match self.never(&job) {
             Ok(None) => None,
             // What is known already stays known, whatever the types and teams say today.
@@ -237,7 +256,7 @@
         if let Some(state) = self.remembered(uid) {
             return Ok(json(StatusCode::OK, &state));
         }
-        let _turn = self.admit()?;
+        let _turn = self.admit(&self.polls)?;
         let state = self.state(uid).await?.ok_or(Refusal::NoSuchJob)?;
         Ok(json(StatusCode::OK, &state))
     }
@@ -247,7 +266,7 @@
         if let Some(state) = self.remembered(uid) {
             return Ok(json(StatusCode::OK, &state));
         }
-        let _turn = self.admit()?;
+        let _turn = self.admit(&self.changes)?;
         self.may_ask(2)?;
         let (live, over) = (store::live(uid), store::over(uid));
         let Some((value, entry)) = self.store.get(&live, limits::POLL_TIMEOUT).await? else {
@@ -342,7 +361,7 @@
 
 #[handler]
 fn get_health(Data(api): Shared<'_>) -> Response {
-    if api.healthy.load(Ordering::Relaxed) {
+    if api.health.healthy.load(Ordering::Relaxed) {
         json(StatusCode::OK, &serde_json::json!({ "status": "ok" }))
     } else {
         Refusal::Later("cannot take requests now".into()).into()
--- a/src/blocks.rs
+++ b/src/blocks.rs
@@ -18,6 +18,8 @@
     tasks: Vec<ReportedTask>,
     /// The leader has something to tell it: the next report is passed on whatever it says.
     woken: bool,
+    /// When it was last answered.
+    at: u64,
 }
 
 /// A worker with news for a leader that is not heard here.
@@ -39,6 +41,8 @@
 
 #[derive(Default)]
 pub struct Block {
+    /// Machines that it keeps at most.
+    most: usize,
     token: u64,
     /// The block lease: until then this node may answer by itself.
     until: u64,
@@ -53,11 +57,15 @@
 }
 
 impl Block {
+    pub fn new(most: usize) -> Self {
+        Block { most, ..Block::default() }
+    }
+
     /// A leader is about. Until it confirms a word of ours nobody is answered without it; what an earlier one
     /// leased may still keep workers alive elsewhere.
     pub fn follow(&mut self, token: u64) {
         if token > self.token {
-            *self = Block { token, next: self.next, ..Block::default() };
+            *self = Block { token, next: self.next, ..Block::new(self.most) };
         }
     }
 
@@ -85,7 +93,7 @@
             return None;
         }
         if let Some(kept) = self.kept.get_mut(&report.machine).filter(|_| unchanged) {
-            kept.seq = report.seq;
+            (kept.seq, kept.at) = (report.seq, now);
         }
         self.answered.insert(report.machine.clone(), self.next + 1);
         Some(self.token)
@@ -111,14 +119,14 @@
     }
 
     /// The leader has answered a report that was passed on. `keep`: what says nothing new need not be.
-    pub fn passed(&mut self, report: Report, token: u64, keep: bool) {
+    pub fn passed(&mut self, now: u64, report: Report, token: u64, keep: bool) {
         if token != self.token {
             return;
         }
         self.away.remove(&report.machine);
-        if keep && self.kept.len() < limits::BLOCK_MOST {
+        if keep && self.kept.len() < self.most {
             let Report { machine, session, seq, tasks, .. } = report;
-            self.kept.insert(machine, Kept { session, seq, tasks, woken: false });
+            self.kept.insert(machine, Kept { session, seq, tasks, woken: false, at: now });
         } else {
             self.kept.remove(&report.machine);
         }
@@ -139,6 +147,8 @@
             return None;
         }
         self.tell_due = now + limits::BLOCK_TELL;
+        // Machines that are gone or report elsewhere are forgotten here, where it happens once in a while.
+        self.kept.retain(|_, kept| now < kept.at + limits::KEPT_IDLE);
         self.next += 1;
         let mut room = limits::BLOCK_WORD;
         let fits = |name: &&String| {
@@ -197,13 +207,13 @@
 
     /// A holder whose lease runs from one second on.
     fn block() -> Block {
-        let mut block = Block::default();
+        let mut block = Block::new(8);
         block.follow(4);
         let word = block.tell(SECOND).unwrap();
         assert_eq!(block.answers(SECOND, &report(1, 2), true), None);
         block.confirmed(word.id, LEASE);
         assert_eq!(block.answers(SECOND, &report(1, 2), true), None);
-        block.passed(report(1, 2), 4, true);
+        block.passed(SECOND, report(1, 2), 4, true);
         block
     }
 
@@ -290,7 +300,7 @@
         block.confirmed(word.id, LEASE);
         assert_eq!(block.answers(2 * SECOND, &report(2), true), None);
         // An answer of the last leader's that was under way leases nothing any more.
-        block.passed(report(2), 4, true);
+        block.passed(2 * SECOND, report(2), 4, true);
         assert_eq!(block.answers(2 * SECOND, &report(3), true), None);
     }
 
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -24,8 +24,8 @@
     missing: BTreeMap<String, u64>,
     /// When a replica was last moved.
     pub moved: u64,
-    /// Machines that are provably gone; names are never used again.
-    pub gone: BTreeSet<String>,
+    /// Machines that are provably gone, and since when; names are never used again.
+    pub gone: BTreeMap<String, u64>,
     /// A plan that its budget did not suffice for; the next round goes on with it.
     pub plan: Option<Plan>,
 }
@@ -119,7 +119,8 @@
             }
             // The cloud's 200 is proof: the machine and everything on it are gone.
             self.clear_machine(&name);
-            self.fleet.gone.insert(name.clone());
+            self.fleet.gone.insert(name.clone(), self.now);
+            self.fleet.missing.remove(&name);
             self.machines.remove(&name);
             self.unrecord(&name);
         }
@@ -158,12 +159,14 @@
     }
 
     pub fn listed(&mut self, list: Vec<ListedMachine>) {
+        let now = self.now;
+        self.fleet.gone.retain(|_, since| now < *since + limits::GONE_KEPT);
         let mut shown = BTreeSet::new();
         let mut failed = Vec::new();
         for listed in list {
             shown.insert(listed.machine.name.clone());
             let name = &listed.machine.name;
-            let known = self.machines.contains_key(name) || self.fleet.gone.contains(name);
+            let known = self.machines.contains_key(name) || self.fleet.gone.contains_key(name);
             if !known && self.loaded {
                 // A late rental, or one of an earlier leader's: used, or returned when idle.
                 debug!(machine = listed.machine.name, "listed and not known: adopted");
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -63,7 +63,7 @@
         if !self.loaded {
             return Taken::Unchanged;
         }
-        if self.fleet.gone.contains(&report.machine) {
+        if self.fleet.gone.contains_key(&report.machine) {
             return Taken::Late;
         }
         let (now, token) = (self.now, self.config.token);
--- a/src/core/silence.rs
+++ b/src/core/silence.rs
@@ -144,7 +144,10 @@
             let left = |m: &&&Seen| m.left.is_some_and(|(from, at)| from == way && at >= light.dark_from());
             let block = here.len() + lit.iter().filter(left).count();
             let silent = |m: &&&Seen| now >= m.heard + p.silent;
-            let quiet = here.iter().filter(|m| silent(m) || m.deaf).count();
+            // They fall due one after the other over an interval: those that are late already count, or the
+            // first of them would be given up before they were too many.
+            let late = |m: &&&Seen| now >= m.heard + p.report / 4 * 5 + limits::LATE;
+            let quiet = here.iter().filter(|m| late(m) || m.deaf).count();
             // A holder that is only out of touch answers what says nothing new until its lease ends.
             let wait = if light.dark {
                 light.dark_from() + p.block_lease + limits::COMES_LATE
@@ -155,9 +158,6 @@
             if now < wait || too_many(quiet, block) {
                 continue;
             }
-            if quiet > 0 {
-                info!(?way, quiet, block, dark = light.dark, "machines given up");
-            }
             up.extend(here.iter().filter(|m| silent(m) || m.deaf).map(|m| m.name));
         }
         up
@@ -207,3 +207,121 @@
         up.into_iter().filter(|name| !deleting(name)).map(str::to_string).collect()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::limits::SECOND;
+
+    const REPORT: u64 = 3 * SECOND;
+    const BLOCK_LEASE: u64 = 22 * SECOND;
+    /// When the trouble begins.
+    const FROM: u64 = 100 * SECOND;
+    const ZONES: [&str; 2] = ["a", "b"];
+
+    /// What befalls a machine: silent for so long from `FROM` on.
+    type Trouble = fn(usize, usize) -> u64;
+
+    /// Machines that report evenly over the interval, a third by each of three ways, and the trouble that some
+    /// have. Returns which are given up, and how long after its beginning the first is.
+    fn play(machines: usize, trouble: Trouble, lost_way: Option<usize>, time: u64) -> (usize, u64) {
+        let names: Vec<String> = (0..machines).map(|i| format!("m-{i}")).collect();
+        let patience = Patience {
+            report: REPORT,
+            silent: limits::silent(3.0),
+            block_lease: BLOCK_LEASE,
+            started: SECOND,
+        };
+        let mut silence = Silence::default();
+        let mut given_up: BTreeSet<usize> = BTreeSet::new();
+        let mut first = u64::MAX;
+        for step in 0..(FROM / 2 + time) / limits::EXPIRE_EVERY {
+            let now = FROM / 2 + step * limits::EXPIRE_EVERY;
+            let heard = |i: usize| {
+                let phase = i as u64 * 7_919 % 1_000 * REPORT / 1_000;
+                let report = |at: u64| at.saturating_sub(phase) / REPORT * REPORT + phase;
+                let until = FROM + trouble(i, machines);
+                if now < FROM || trouble(i, machines) == 0 {
+                    report(now)
+                } else if now < until {
+                    report(FROM)
+                } else {
+                    // Back, all at once, as after a cut.
+                    report(now).max(until)
+                }
+            };
+            let seen: Vec<Seen> = (0..machines)
+                .filter(|i| !given_up.contains(i))
+                .map(|i| Seen {
+                    name: &names[i],
+                    zone: ZONES[i % 2],
+                    way: [None, Some(1), Some(2)][i % 3],
+                    left: None,
+                    heard: heard(i),
+                    deaf: false,
+                    awaited: false,
+                })
+                .collect();
+            let lost = lost_way.filter(|_| now >= FROM).into_iter().collect();
+            silence.look(now, &patience, &seen, &lost);
+            for name in silence.given_up(now, &patience, &seen) {
+                first = first.min(now - FROM);
+                given_up.extend(name[2..].parse::<usize>());
+            }
+        }
+        (given_up.len(), first)
+    }
+
+    #[test]
+    fn silence_is_told_apart_at_every_size() {
+        const LONG: u64 = 1_000 * SECOND;
+        let at_once = limits::silent(3.0) + SECOND;
+        let never = u64::MAX;
+        let half = |n: usize| n / 2;
+        type Size = fn(usize) -> usize;
+        // What happens, to whom and for how long, a way that is lost, how many are to be given up, how soon.
+        let cases: [(&str, Trouble, Option<usize>, Size, u64); 9] = [
+            ("nothing", |_, _| 0, None, |_| 0, never),
+            ("a machine dies", |i, _| if i == 5 { LONG } else { 0 }, None, |_| 1, at_once),
+            ("a tenth dies", |i, _| if i % 10 == 4 { LONG } else { 0 }, None, |n| n / 10, at_once),
+            (
+                "a tenth hangs past its lease",
+                |i, _| if i % 10 == 4 { 25 * SECOND } else { 0 },
+                None,
+                |n| n / 10,
+                at_once,
+            ),
+            ("a third of each zone at once", |i, _| if i % 6 < 2 { LONG } else { 0 }, None, |_| 0, never),
+            ("a zone is cut off", |i, _| if i % 2 == 1 { 45 * SECOND } else { 0 }, None, |_| 0, never),
+            ("a zone for good", |i, _| if i % 2 == 1 { LONG } else { 0 }, None, |_| 0, never),
+            ("all are silent", |_, _| 45 * SECOND, None, |_| 0, never),
+            // Its holder answers by itself; the machines come another way when its lease has ended.
+            (
+                "a holder is out of touch",
+                |i, _| if i % 3 == 1 { 25 * SECOND } else { 0 },
+                Some(1),
+                |_| 0,
+                never,
+            ),
+        ];
+        for machines in [20, 120, 1_900] {
+            for (what, trouble, lost, expected, soon) in &cases {
+                let (given_up, first) = play(machines, *trouble, *lost, 90 * SECOND);
+                let expected = expected(machines);
+                assert_eq!(given_up, expected, "{what}, {machines} machines");
+                assert!(expected == 0 || first <= *soon, "{what}, {machines} machines: after {first}");
+            }
+            // A zone comes back without some of its machines: those are dead, the others only needed time.
+            let cut = |i: usize, n: usize| match i % 2 {
+                1 if i > n - n / 10 => LONG,
+                1 => 45 * SECOND,
+                _ => 0,
+            };
+            let (given_up, first) = play(machines, cut, None, 90 * SECOND);
+            let dead = (0..machines).filter(|i| cut(*i, machines) == LONG).count();
+            assert!(dead < half(machines) / 2);
+            assert_eq!(given_up, dead, "a cut, {machines} machines");
+            assert!(first >= 44 * SECOND + limits::COMES_LATE, "{machines} machines: after {first}");
+        }
+    }
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -24,14 +24,20 @@
 
 impl Http {
     pub fn new() -> Result<Self, reqwest::Error> {
+        Self::builder().pool_idle_timeout(limits::IDLE_CONNECTION).build().map(Http)
+    }
+
+    /// For a few words to each of many hosts: a connection kept to every one would use up the sockets.
+    pub fn to_many() -> Result<Self, reqwest::Error> {
+        Self::builder().pool_max_idle_per_host(0).build().map(Http)
+    }
+
+    fn builder() -> reqwest::ClientBuilder {
         reqwest::Client::builder()
             .no_proxy()
             .connect_timeout(limits::CONNECT_TIMEOUT)
-            .pool_idle_timeout(limits::IDLE_CONNECTION)
             .tcp_nodelay(true)
             .redirect(reqwest::redirect::Policy::none())
-            .build()
-            .map(Http)
     }
 
     pub async fn call(
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -241,11 +241,17 @@
 
     /// The token this node may act with at this moment.
     pub fn authority(&self, now: u64) -> Option<u64> {
-        let Role::Leader { token, lease_until, .. } = &self.role else { return None };
+        self.acts_until(now).1
+    }
+
+    /// Until when what this node sends may leave, as far as is known now, and the token, if that is later.
+    pub fn acts_until(&self, now: u64) -> (u64, Option<u64>) {
+        let Role::Leader { token, lease_until, .. } = &self.role else { return (0, None) };
         let peers = self.majority_until(!self.amnesiac(now), |p| p.granted).min(now + limits::GRANT);
         let alone_ok = now < lease_until + self.alone || self.all_without_state(now);
         let until = if alone_ok { peers.max(*lease_until) } else { *lease_until };
-        (now + limits::GUARD < until).then_some(*token)
+        let until = until.saturating_sub(limits::GUARD);
+        (until, (now < until).then_some(*token))
     }
 
     /// The token under which this node may keep workers alive, without orders.
--- a/src/leadership_tests.rs
+++ b/src/leadership_tests.rs
@@ -51,9 +51,11 @@
     serial: u64,
     state_down: bool,
     refused: Option<usize>,
-    /// Node cut off from peers (and users and workers), and whether from the state service too.
-    cut: Option<(usize, bool)>,
+    /// Nodes cut off from the others (and users and workers), and whether from the state service too.
+    cut: Option<(Vec<usize>, bool)>,
     cut_until: u64,
+    /// A node that stands still while its clock runs on.
+    frozen: Option<(usize, u64)>,
     workers_cut: Option<usize>,
     first_workers: bool,
     tokens: Vec<(u64, usize, u64)>,
@@ -75,6 +77,7 @@
             refused: None,
             cut: None,
             cut_until: 0,
+            frozen: None,
             workers_cut: None,
             first_workers: false,
             tokens: Vec::new(),
@@ -104,7 +107,7 @@
     }
 
     fn cut_between(&self, a: usize, b: usize) -> bool {
-        self.cut.is_some_and(|(n, _)| n == a || n == b)
+        self.cut.as_ref().is_some_and(|(inside, _)| inside.contains(&a) != inside.contains(&b))
     }
 
     fn send(&mut self, delay: u64, wire: Wire) {
@@ -140,7 +143,7 @@
                     let delay = self.delay();
                     let unreachable = self.state_down
                         || self.refused == Some(node)
-                        || self.cut.is_some_and(|(n, state)| n == node && state);
+                        || self.cut.as_ref().is_some_and(|(inside, state)| inside.contains(&node) && *state);
                     if unreachable && !matches!(action, Action::TakeOver { .. }) {
                         self.send(delay, Wire::FromStore { node, life, answer: StoreAnswer::Failed });
                     } else {
@@ -161,7 +164,8 @@
             let state_age = self.local(node).saturating_sub(self.nodes[node].state_answered);
             return Status { state_age, workers, machines: 0 };
         }
-        let cut = self.cut.is_some_and(|(n, _)| n == node) || self.workers_cut == Some(node);
+        let cut = self.cut.as_ref().is_some_and(|(inside, _)| inside.len() == 1 && inside[0] == node);
+        let cut = cut || self.workers_cut == Some(node);
         // Nobody has come to a peer yet: only the leader has workers.
         let leads = self.nodes[node].leadership.is_leader();
         let workers = if cut || self.workers_cut.is_some() && !leads { 0 } else { 3 };
@@ -238,14 +242,23 @@
 
     fn step(&mut self) {
         self.now += 10 * MS;
+        self.frozen = self.frozen.filter(|(_, until)| self.now < *until);
         while let Some(entry) = self.wires.first_entry() {
             if entry.key().0 > self.now {
                 break;
             }
             let wire = entry.remove();
-            self.deliver(wire);
+            match (&wire, self.frozen) {
+                // What arrives meanwhile is all there when it goes on.
+                (Wire::Message { to: node, .. } | Wire::FromStore { node, .. }, Some((still, until)))
+                    if *node == still =>
+                {
+                    self.send(until - self.now, wire);
+                }
+                _ => self.deliver(wire),
+            }
         }
-        for node in 0..3 {
+        for node in (0..3).filter(|n| self.frozen.is_none_or(|(still, _)| still != *n)).collect::<Vec<_>>() {
             if let Some(until) = self.nodes[node].down_until {
                 if self.now < until {
                     continue;
@@ -318,7 +331,7 @@
             world.run(time);
             let node = world.rng.random_range(0..3);
             let back = world.rng.random_range(50 * MS..4 * limits::SECOND);
-            match world.rng.random_range(0..8) {
+            match world.rng.random_range(0..11) {
                 0 => world.crash(node, back),
                 1 => (0..3).for_each(|n| world.crash(n, back)),
                 2 => world.leader().into_iter().for_each(|n| world.crash(n, back)),
@@ -326,14 +339,27 @@
                 4 => world.refused = if world.refused.is_none() { Some(node) } else { None },
                 5 | 6 => {
                     let whom = world.leader().unwrap_or(node);
-                    world.cut = Some((whom, world.rng.random_bool(0.5)));
+                    world.cut = Some((vec![whom], world.rng.random_bool(0.5)));
                     world.cut_until = world.now + world.rng.random_range(limits::SECOND..9 * limits::SECOND);
                 }
+                // A zone that holds one or two of them is cut off from everything.
+                8 | 9 => {
+                    let alone = world.rng.random_bool(0.3);
+                    let inside = if alone { vec![node] } else { (0..3).filter(|n| *n != node).collect() };
+                    world.cut = Some((inside, true));
+                    let time = world.rng.random_range(limits::SECOND..40 * limits::SECOND);
+                    world.cut_until = world.now + time;
+                }
+                10 => {
+                    let whom = world.leader().unwrap_or(node);
+                    let time = world.rng.random_range(limits::SECOND..35 * limits::SECOND);
+                    world.frozen = Some((whom, world.now + time));
+                }
                 _ => {}
             }
         }
         // Once the troubles end, somebody leads again.
-        (world.state_down, world.refused, world.cut) = (false, None, None);
+        (world.state_down, world.refused, world.cut, world.frozen) = (false, None, None, None);
         world.run(12 * limits::SECOND);
         assert!(world.leader().is_some(), "nobody leads, seed {seed}");
         assert!(world.led_time > 1_000, "seed {seed} was led only {} steps", world.led_time);
@@ -371,7 +397,7 @@
     let mut world = World::new(3);
     world.run(5 * limits::SECOND);
     let leader = world.leader().expect("a leader");
-    (world.cut, world.cut_until) = (Some((leader, false)), world.now + 30 * limits::SECOND);
+    (world.cut, world.cut_until) = (Some((vec![leader], false)), world.now + 30 * limits::SECOND);
     world.run(8 * limits::SECOND);
     assert!(world.leader().is_some_and(|n| n != leader));
 }
@@ -448,3 +474,42 @@
     world.run(12 * limits::SECOND);
     assert_eq!(world.tokens.len(), 1, "{:?}", world.tokens);
 }
+
+/// The zone that holds the leader and a majority is cut off, state service and all. Inside, they may act and
+/// keep workers alive for the bounded time only, since withdrawals outside pass them by (a caretaker went on
+/// without end); outside, the one that is left leads once that time is over, though nobody promises it.
+#[test]
+fn a_majority_cut_off_from_the_state_service_stops_and_the_one_outside_leads() {
+    for seed in 0..20 {
+        let mut world = World::new(seed);
+        world.run(5 * limits::SECOND);
+        let leader = world.leader().expect("a leader");
+        let outside = (leader + 1) % 3;
+        let inside = (0..3).filter(|n| *n != outside).collect();
+        (world.cut, world.cut_until) = (Some((inside, true)), world.now + 60 * limits::SECOND);
+        // The state lease, the bound, and the time that the one outside waits beyond it.
+        world.run(10 * limits::SECOND + 3 * limits::SECOND + 6 * limits::SECOND);
+        assert_eq!(world.leader(), Some(outside), "seed {seed}");
+        let kept = world.kept_time;
+        world.run(20 * limits::SECOND);
+        assert_eq!((world.leader(), world.kept_time), (Some(outside), kept), "seed {seed}");
+        world.run(25 * limits::SECOND);
+        assert!(world.leader().is_some(), "seed {seed}: nobody leads after the cut");
+    }
+}
+
+/// Nothing that a leader had in hand when it stood still may go out on authority that has passed.
+#[test]
+fn a_leader_that_stood_still_has_no_authority_left() {
+    let mut world = World::new(7);
+    world.run(5 * limits::SECOND);
+    let leader = world.leader().expect("a leader");
+    world.frozen = Some((leader, world.now + 30 * limits::SECOND));
+    world.run(29 * limits::SECOND + 900 * MS);
+    let node = &world.nodes[leader].leadership;
+    assert!(node.is_leader(), "it does not know yet");
+    assert_eq!(node.acts_until(world.local(leader)).1, None);
+    assert!(world.leader().is_some_and(|n| n != leader));
+    world.run(limits::SECOND);
+    assert!(!world.nodes[leader].leadership.is_leader());
+}
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -69,8 +69,6 @@
 pub const BLOCK_WORD: usize = 60 * 1024;
 /// Words to the leader without confirmation that are remembered.
 pub const BLOCK_UNCONFIRMED: usize = 8;
-/// Machines that one holder keeps: some 300 bytes each.
-pub const BLOCK_MOST: usize = 4_096;
 /// A report that was passed on waits this long for the leader; then the worker is kept alive if it may be,
 /// or sent elsewhere. Well within the 4 s that it gives us.
 pub const RELAY_PATIENCE: u64 = 1_500_000;
@@ -94,6 +92,9 @@
     micros(report_s * 1.25) + 3_250_000
 }
 
+/// A report that comes this much after its time is late: round trips and a busy node take less.
+pub const LATE: u64 = 500_000;
+
 /// Suspected machines are deleted ahead of the end of their lease only while at most this share (or
 /// two machines) is silent: when more are, the fault may well be on our side.
 pub const SILENT_SHARE: f64 = 0.25;
@@ -248,17 +249,54 @@
 pub const TYPES_MOST: usize = 16;
 /// Tasks of one key of finished tasks: 4,096 bits are 1 KiB of hexadecimal, within every `value_kb`.
 pub const DONE_CHUNK: u32 = 4_096;
-/// Commands waiting for the owner of the state; beyond it requests are shed.
-pub const QUEUE: usize = 1_024;
+/// What a process has room for, from what the platform grants it. The settings name no number of machines;
+/// each worker holds a connection, and has one report under way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Capacity {
+    /// Events waiting for the owner of the state: as many as there can be connections, since after a takeover
+    /// every worker has news at once. Beyond it requests are shed.
+    pub queue: usize,
+    /// Frames waiting for one peer: all workers of a block after a change of leader, and a heartbeat between
+    /// them. More are dropped; the next heartbeat, and the worker's next report, make up for them.
+    pub peer_queue: usize,
+    /// Machines that one holder keeps: some 300 bytes each.
+    pub block: usize,
+    /// Submissions and withdrawals in progress at once, and polls; beyond it they are shed with `Retry-After`.
+    /// Polls must not take the turns of those that change something.
+    pub changes: usize,
+    pub polls: usize,
+    /// Commands to workers' addresses at once, a connection each.
+    pub orders: usize,
+    /// Final states remembered by a node so that late polls cost no request: a thirty-second of its memory at
+    /// some 250 bytes each.
+    pub over: usize,
+}
+
+impl Capacity {
+    pub fn of(max_sockets: usize, memory_mb: f64) -> Self {
+        let sockets = max_sockets.clamp(64, 65_536);
+        let memory = (memory_mb.clamp(16.0, 65_536.0) * 1024.0 * 1024.0) as usize;
+        Capacity {
+            queue: sockets,
+            peer_queue: sockets,
+            block: sockets,
+            changes: (sockets / 16).max(32),
+            polls: (sockets / 8).max(64),
+            orders: (sockets / 16).max(16),
+            over: memory / 32 / 250,
+        }
+    }
+}
+
+/// Names of machines that are gone are remembered this long: reports that a cut held back, and copies of them,
+/// come minutes late.
+pub const GONE_KEPT: u64 = 3_600_000_000;
+/// A holder forgets a machine that it has not answered for this long: it is gone, or reports elsewhere.
+pub const KEPT_IDLE: u64 = 60_000_000;
+/// Frames written to a peer at once: some 100 KiB.
+pub const PEER_BATCH: usize = 512;
 /// Commands taken in one batch.
 pub const BATCH: usize = 64;
-/// Frames waiting for one peer: all workers of a block after a change of leader, a heartbeat between them.
-/// More are dropped; the next heartbeat, and the worker's next report, make up for them.
-pub const PEER_QUEUE: usize = 512;
-/// Final states remembered by a node so that late polls cost no request.
-pub const OVER_CACHE: usize = 4_096;
-/// User requests in progress at once; beyond it they are shed with `Retry-After`.
-pub const USERS_AT_ONCE: usize = 64;
 /// `Retry-After` in seconds: what sheds load passes within a second or two.
 pub const RETRY_AFTER_S: u64 = 1;
 /// State requests: ordinary answers take under 10 ms, now and then a few hundred.
--- a/src/live.rs
+++ b/src/live.rs
@@ -16,8 +16,8 @@
 pub struct Live(mpsc::Sender<Question>);
 
 impl Live {
-    pub fn start(store: Store) -> Self {
-        let (to, questions) = mpsc::channel(limits::QUEUE);
+    pub fn start(store: Store, at_once: usize) -> Self {
+        let (to, questions) = mpsc::channel(at_once);
         tokio::spawn(keep(store, questions));
         Live(to)
     }
--- a/src/server.rs
+++ b/src/server.rs
@@ -1,25 +1,25 @@
 //! Wires everything up: the queue of events into leadership and core, their effects out.
 
-use crate::api::{self, Api, Summary, Types};
+use crate::api::{self, Api, Health, Summary, Types};
 use crate::blocks::{Block, Word};
 use crate::cloud::{self, Cloud};
 use crate::core::model::{Report, Uid};
 use crate::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob, StoredMachine};
 use crate::http::{wall_ms, Clock, Http};
 use crate::leadership::{Action, Leadership, Status, StoreAnswer};
-use crate::limits;
+use crate::limits::{self, Capacity};
 use crate::peer::{self, Payload, Received, Sender};
 use crate::settings::{Operator, Settings};
 use crate::store::{self, Committed, Store};
 use crate::wire::{Checkin, CheckinAnswer, Epoch, FleetRecord, LiveRecord, Orders, Over, Record, Rental};
 use crate::worker;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch, Semaphore};
 use tokio::task::{JoinHandle, JoinSet};
 use tracing::{debug, info, warn};
 
@@ -107,24 +107,25 @@
         settings.members.len() + 1,
     );
     let cloud = Cloud::new(http.clone(), settings.external.cloud);
-    let (events, queue) = mpsc::channel(limits::QUEUE);
+    let resources = &deployment.resources;
+    let room = Capacity::of(resources.max_sockets, resources.memory_mb);
+    let (events, queue) = mpsc::channel(room.queue);
     let (types_to, types) = watch::channel(Types::default());
     let (summary_to, summary) = watch::channel(Summary::default());
-    let healthy = Arc::new(AtomicBool::new(false));
-    let cut_off = Arc::new(AtomicBool::new(false));
+    let health = Arc::new(Health::default());
     let names = settings.node_names();
     let me = names.iter().position(|n| *n == settings.node_name).unwrap_or(0);
     let sender = Sender { node: me, incarnation: rand::random() };
     info!(node = settings.node_name, zone = settings.zone, incarnation = sender.incarnation, "started");
 
-    let (frames_to, frames) = mpsc::channel(limits::PEER_QUEUE);
+    let (frames_to, frames) = mpsc::channel(room.peer_queue);
     tokio::spawn(peer::listen(peers, names.len(), me, frames_to));
     tokio::spawn(forward(frames, events.clone()));
     let mut outgoing = Vec::new();
     for name in &names {
         let member = settings.members.iter().find(|m| m.node_name == *name);
         outgoing.push(member.map(|m| {
-            let (to, queue) = mpsc::channel(limits::PEER_QUEUE);
+            let (to, queue) = mpsc::channel(room.peer_queue);
             tokio::spawn(peer::send_to(m.peer_addr, sender, queue));
             to
         }));
@@ -137,8 +138,8 @@
         types,
         summary,
         events.clone(),
-        healthy.clone(),
-        cut_off.clone(),
+        health.clone(),
+        room,
     ));
     let acceptor = poem::listener::TcpAcceptor::from_tokio(public)
         .map_err(|source| ServeError::Io { what: "public_addr".into(), source })?;
@@ -174,7 +175,8 @@
         },
         settings,
         clock,
-        http,
+        workers: Http::to_many()?,
+        orders: Arc::new(Semaphore::new(room.orders)),
         store,
         cloud,
         events,
@@ -185,15 +187,15 @@
         entry: 0,
         replies: BTreeMap::new(),
         next_reply: 0,
-        block: Block::default(),
+        block: Block::new(room.block),
         passed_on: BTreeMap::new(),
         leading: Vec::new(),
         cloud_queue: None,
         summary: summary_to,
-        healthy,
-        cut_off,
+        health,
         types: Types::default(),
         checkins: VecDeque::new(),
+        acts_until: Arc::default(),
         summary_due: 0,
         report_due: 0,
     };
@@ -246,6 +248,20 @@
     }
 }
 
+/// Asked right before bytes leave: a process may stand still for half a minute anywhere, and what it had in
+/// hand then is a deposed leader's.
+#[derive(Clone)]
+struct Gate {
+    clock: Clock,
+    until: Arc<AtomicU64>,
+}
+
+impl Gate {
+    fn open(&self) -> bool {
+        self.clock.now() < self.until.load(Ordering::Relaxed)
+    }
+}
+
 enum CloudRequest {
     Rent { request: u64, machine_type: String, zone: String, spot: bool, count: u32 },
     Delete(Vec<String>),
@@ -256,7 +272,9 @@
     config: Config,
     settings: Settings,
     clock: Clock,
-    http: Http,
+    /// For commands to workers' addresses.
+    workers: Http,
+    orders: Arc<Semaphore>,
     store: Store,
     cloud: Cloud,
     events: mpsc::Sender<Event>,
@@ -275,11 +293,12 @@
     leading: Vec<JoinHandle<()>>,
     cloud_queue: Option<mpsc::UnboundedSender<CloudRequest>>,
     summary: watch::Sender<Summary>,
-    healthy: Arc<AtomicBool>,
-    cut_off: Arc<AtomicBool>,
+    health: Arc<Health>,
     types: Types,
     /// When workers checked in lately.
     checkins: VecDeque<u64>,
+    /// Until when rentals, deletions and orders may leave.
+    acts_until: Arc<AtomicU64>,
     summary_due: u64,
     report_due: u64,
 }
@@ -357,6 +376,7 @@
         let status = self.status(now);
         let actions = self.leadership.tick(now, status);
         self.act(actions);
+        self.acts_until.store(self.leadership.acts_until(now).0, Ordering::Relaxed);
         self.judge_health(now);
         for (checkin, to) in checkins {
             self.checkin(now, checkin, to, &mut commands);
@@ -400,7 +420,7 @@
                 let Some(PassedOn { to, report, .. }) = self.passed_on.remove(&id) else { return };
                 let reply = match token {
                     Some(helm) => {
-                        self.block.passed(report, helm, keep);
+                        self.block.passed(now, report, helm, keep);
                         let signals = orders.iter().map(worker::signal).collect();
                         CheckinReply::Orders(CheckinAnswer { helm, signals })
                     }
@@ -471,9 +491,9 @@
         // In an outage that everybody shares nobody serves users better than we do. A node that hears no
         // peer either is more likely alone in it.
         let shared = self.leadership.hears_a_peer(now) && !self.leadership.peer_has_state(now);
-        self.cut_off.store(lost && !shared, Ordering::Relaxed);
+        self.health.cut_off.store(lost && !shared, Ordering::Relaxed);
         let healthy = !self.types.is_empty() && (!lost || shared);
-        if self.healthy.swap(healthy, Ordering::Relaxed) != healthy {
+        if self.health.healthy.swap(healthy, Ordering::Relaxed) != healthy {
             info!(healthy, "health");
         }
     }
@@ -619,7 +639,7 @@
         let lag = self.settings.deployment.cloud.list_lag_s;
         self.leading = vec![
             tokio::spawn(follow_jobs(self.store.clone(), events.clone(), token, entry)),
-            tokio::spawn(drive_cloud(self.cloud.clone(), events.clone(), queue, token, rps)),
+            tokio::spawn(drive_cloud(self.cloud.clone(), events.clone(), queue, token, rps, self.gate())),
             tokio::spawn(list_machines(self.cloud.clone(), events, token, lag)),
         ];
     }
@@ -668,10 +688,17 @@
                 let Some(helm) = self.leadership.authority(self.clock.now()) else { return };
                 let signals = orders.iter().map(worker::signal).collect();
                 let orders = Orders { helm, watch: session, signals };
-                let (http, events) = (self.http.clone(), self.events.clone());
+                // The next report brings the stops as well.
+                let Ok(turn) = self.orders.clone().try_acquire_owned() else { return };
+                let (http, events, gate) = (self.workers.clone(), self.events.clone(), self.gate());
                 debug!(machine, stops = orders.signals.len(), "direct stops");
                 tokio::spawn(async move {
-                    if let Some(report) = worker::direct(&http, &address, &orders).await {
+                    let answer = match gate.open() {
+                        true => worker::direct(&http, &address, &orders).await,
+                        false => None,
+                    };
+                    drop(turn);
+                    if let Some(report) = answer {
                         let _ = events.send(Event::Core(helm, Command::OrdersAnswered(report))).await;
                     }
                 });
@@ -719,6 +746,10 @@
         }
     }
 
+    fn gate(&self) -> Gate {
+        Gate { clock: self.clock, until: self.acts_until.clone() }
+    }
+
     fn cloud_request(&self, request: CloudRequest) {
         if let Some(queue) = &self.cloud_queue {
             let _ = queue.send(request);
@@ -956,6 +987,7 @@
     mut queue: mpsc::UnboundedReceiver<CloudRequest>,
     token: u64,
     rps: f64,
+    gate: Gate,
 ) {
     // Half of the limit: lists and the other nodes' catalogs need some too.
     let pace = Duration::from_secs_f64(2.0 / rps.max(0.1));
@@ -975,17 +1007,24 @@
         while under_way.try_join_next().is_some() {}
         let at = waiting.iter().position(|r| matches!(r, CloudRequest::Delete(_))).unwrap_or(0);
         let Some(request) = waiting.remove(at) else { continue };
-        let (cloud, events) = (cloud.clone(), events.clone());
+        let (cloud, events, gate) = (cloud.clone(), events.clone(), gate.clone());
         under_way.spawn(async move {
-            let command = ask_cloud(cloud, request, token, pace).await;
+            let command = ask_cloud(cloud, request, token, pace, gate).await;
             let _ = events.send(Event::Core(token, command)).await;
         });
         tokio::time::sleep(pace).await;
     }
 }
 
-async fn ask_cloud(cloud: Cloud, request: CloudRequest, token: u64, pace: Duration) -> Command {
+async fn ask_cloud(cloud: Cloud, request: CloudRequest, token: u64, pace: Duration, gate: Gate) -> Command {
     match request {
+        // Not sent: if this node leads still, it will ask again.
+        CloudRequest::Delete(machines) if !gate.open() => {
+            Command::Deleted { machines, outcome: Outcome::Refused }
+        }
+        CloudRequest::Rent { request, .. } if !gate.open() => {
+            Command::Rented { request, machines: None, outcome: Outcome::Refused }
+        }
         CloudRequest::Delete(machines) => {
             let outcome = cloud.delete(&machines).await;
             Command::Deleted { machines, outcome }
@@ -1002,7 +1041,7 @@
             };
             let mut answer = cloud.rent(&rental).await;
             for _ in 0..2 {
-                if answer.0 == Outcome::Unknown {
+                if answer.0 == Outcome::Unknown && gate.open() {
                     // The same name again rents nothing twice.
                     tokio::time::sleep(pace * 2).await;
                     answer = cloud.rent(&rental).await;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -58,11 +58,13 @@
 pub struct Machine {
     /// Share of one processor core.
     pub cpu: f64,
+    pub memory_mb: f64,
+    pub max_sockets: usize,
 }
 
 impl Default for Machine {
     fn default() -> Self {
-        Machine { cpu: 1.0 }
+        Machine { cpu: 1.0, memory_mb: 256.0, max_sockets: 4_096 }
     }
 }
 
@@ -129,8 +131,10 @@
         let d = &self.deployment;
         let positive = |v: f64| v.is_finite() && v > 0.0;
         let amount = |v: f64| v.is_finite() && v >= 0.0;
-        let rules: [(&'static str, bool, &'static str); 13] = [
+        let rules: [(&'static str, bool, &'static str); 15] = [
             ("deployment.resources.cpu", positive(d.resources.cpu), "must be above 0"),
+            ("deployment.resources.memory_mb", positive(d.resources.memory_mb), "must be above 0"),
+            ("deployment.resources.max_sockets", d.resources.max_sockets > 0, "must be above 0"),
             ("node_name", !self.node_name.is_empty(), "must not be empty"),
             (
                 "members",
--- a/tests/core_rules.rs
+++ b/tests/core_rules.rs
@@ -140,7 +140,7 @@
             token: 1,
             gpus_max,
             workers: BTreeMap::new(),
-            holders: (0..HOLDERS).map(|_| Holder { block: Block::default(), cut_until: 0 }).collect(),
+            holders: (0..HOLDERS).map(|_| Holder { block: Block::new(64), cut_until: 0 }).collect(),
             passed_on: BTreeMap::new(),
             answered_by_holders: 0,
             cloud_down_until: 0,
@@ -347,7 +347,7 @@
                     if self.now < holder.cut_until {
                         return;
                     }
-                    holder.block.passed(report, self.token, keep);
+                    holder.block.passed(self.now, report, self.token, keep);
                 }
                 // Some answers are lost on their way.
                 if self.rng.random_bool(0.05) {
@@ -552,7 +552,7 @@
             // A holder that ends has forgotten its block.
             6 => {
                 let node = self.rng.random_range(0..HOLDERS);
-                self.holders[node].block = Block::default();
+                self.holders[node].block = Block::new(64);
             }
             4 => {
                 let live: Vec<Uid> = self.live.keys().copied().collect();
