--- a/src/limits.rs
+++ b/src/limits.rs
@@ -42,10 +42,11 @@
 /// How long workers may be kept alive, by whom ever, once a withdrawal may pass those who do so by: leaders by
 /// their peers alone while not every member attests that it can't commit either, caretakers, and holders that
 /// hear no leader. A worker answered at the very end lives for its lease, and all must be gone `cancel_s` after
-/// the user was told. Taken off besides: the state lease, by which the leader could not miss it longer, a
-/// report's interval with what a command needs to reach its worker, and the lateness of a worker's own end.
-pub fn alone(cancel_s: f64, lease_s: f64, report_s: f64) -> u64 {
-    micros(cancel_s - lease_s - report_s).saturating_sub(LOCK_LEASE_MS * 1_000 + LEASE_MARGIN + SECOND)
+/// the user was told. Taken off besides: the state lease, by which the leader could not miss it longer, the
+/// lateness of a worker's own end, and a second on the way. Stops go straight to the workers, so that what a
+/// cut holds back of them was told when it began.
+pub fn alone(cancel_s: f64, lease_s: f64) -> u64 {
+    micros(cancel_s - lease_s).saturating_sub(LOCK_LEASE_MS * 1_000 + LEASE_MARGIN + SECOND)
 }
 
 /// A time as the side counts it that must stop first.
--- a/src/server.rs
+++ b/src/server.rs
@@ -152,7 +152,7 @@
 
     let now = clock.now();
     let workers = &deployment.workers;
-    let alone = limits::alone(workers.cancel_s, workers.lease_s, workers.report_s);
+    let alone = limits::alone(workers.cancel_s, workers.lease_s);
     let seed = sender.incarnation;
     let leadership = Leadership::new(names, me, sender.incarnation, now, alone, seed);
     let hub = Hub {
