--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -106,6 +106,9 @@
     promised: u64,
     heard: u64,
     status: Status,
+    /// When we sent what its last word that it has no state service answered. Only an echo shows that a word
+    /// is fresh: one that a cut held back is of any age, and let a leader act on by its peers alone.
+    attested: u64,
 }
 
 #[derive(Debug)]
@@ -300,11 +303,17 @@
 
     /// All members attest that they cannot commit either, so no cancellation can be passing us by.
     fn all_without_state(&self, now: u64) -> bool {
-        self.peers
-            .iter()
-            .enumerate()
-            .filter(|(i, _)| *i != self.me)
-            .all(|(_, p)| now < p.heard + limits::PEER_WORD && p.status.state_age >= limits::STATE_LOST)
+        self.others().all(|i| now < self.peers[i].attested + limits::PEER_WORD)
+    }
+
+    /// The same by what was last heard, fresh or not: worth a campaign, whose promises then show it.
+    fn all_seem_without_state(&self, now: u64) -> bool {
+        self.others().all(|i| self.fresh(i, now) && self.peers[i].status.state_age >= limits::STATE_LOST)
+    }
+
+    fn note_attest(&mut self, now: u64, from: usize, echo: u64, status: Status) {
+        let attested = status.state_age >= limits::STATE_LOST && echo <= now;
+        self.peers[from].attested = if attested { self.peers[from].attested.max(echo) } else { 0 };
     }
 
     pub fn is_leader(&self) -> bool {
@@ -496,7 +505,7 @@
         if matches!(self.role, Role::Taking { .. }) || calm || now < self.campaign_due {
             return;
         }
-        let may_care = self.all_without_state(now) || now + limits::GRANT < self.alone_from_state(now);
+        let may_care = self.all_seem_without_state(now) || now + limits::GRANT < self.alone_from_state(now);
         let outage = self.state_lost() && self.token > 0 && !self.peer_has_state(now) && may_care;
         if !(readable || outage) || self.grant_out.is_some_and(|(_, until)| now < until) {
             return;
@@ -581,6 +590,7 @@
             Message::Heartbeat { token: 0, .. } => {}
             Message::Heartbeat { token, sent } => self.heartbeat(now, from, token, sent, &mut actions),
             Message::Grant { token, echo } => {
+                self.note_attest(now, from, echo, status);
                 let current = match self.role {
                     Role::Leader { token: own, .. } | Role::Caretaker { token: own } => own == token,
                     _ => false,
@@ -606,6 +616,7 @@
                 }
             }
             Message::Promise { echo } => {
+                self.note_attest(now, from, echo, status);
                 if echo <= now {
                     let until = echo + shortened(limits::GRANT);
                     self.peers[from].promised = self.peers[from].promised.max(until);
