--- a/src/core/silence.rs
+++ b/src/core/silence.rs
@@ -50,6 +50,8 @@
     pub deaf: bool,
     /// An earlier leader recorded it, and it has not come to this one.
     pub awaited: bool,
+    /// Its lease is over: it holds nothing, and still tells whether its zone is heard.
+    pub lost: bool,
 }
 
 /// What is known of zones and ways, kept from one look to the next.
@@ -93,13 +95,17 @@
         for m in seen {
             let zone = zones.entry(m.zone).or_default();
             *zone = (zone.0 + 1, zone.1.max(m.heard));
-            if !m.awaited {
+            if !m.awaited && !m.lost {
                 let way = ways.entry(m.way).or_default();
                 *way = (way.0 + 1, way.1.max(m.heard));
             }
         }
-        for (zone, (machines, latest)) in zones {
-            let light = self.zones.entry(zone.into()).or_default();
+        for zone in zones.keys() {
+            self.zones.entry(zone.to_string()).or_default();
+        }
+        // A zone whose last machine is gone is not dark any more, or none would ever be rented there again.
+        for (zone, light) in &mut self.zones {
+            let (machines, latest) = zones.get(zone.as_str()).copied().unwrap_or_default();
             let before = light.dark;
             light.update(p.dark(now, machines, latest), now);
             if light.dark != before {
@@ -124,7 +130,7 @@
     pub fn given_up<'a>(&self, now: u64, p: &Patience, seen: &[Seen<'a>]) -> Vec<&'a str> {
         // What a dark zone holds may all run on, and its machines could not be replaced there anyway.
         let back = |light: Light| !light.dark && now >= light.back();
-        let lit: Vec<&Seen> = seen.iter().filter(|m| back(self.zone(m.zone))).collect();
+        let lit: Vec<&Seen> = seen.iter().filter(|m| !m.lost && back(self.zone(m.zone))).collect();
         let mut up = Vec::new();
         if now < p.started + p.silent.max(limits::COMES_LATE) {
             return up;
@@ -177,7 +183,7 @@
 
     fn seen(&self) -> Vec<Seen<'_>> {
         let awaited = |m: &Machine| m.inherited && !m.settled && m.phase == Phase::Expected;
-        let heard = self.machines.values().filter(|m| m.phase == Phase::Up || awaited(m));
+        let heard = self.machines.values().filter(|m| m.phase != Phase::Expected || awaited(m));
         heard
             .map(|m| Seen {
                 name: &m.name,
@@ -187,6 +193,7 @@
                 heard: m.heard,
                 deaf: m.unheard >= limits::UNHEARD_DEAF,
                 awaited: awaited(m),
+                lost: m.phase == Phase::Lost,
             })
             .collect()
     }
@@ -260,6 +267,7 @@
                     heard: heard(i),
                     deaf: false,
                     awaited: false,
+                    lost: false,
                 })
                 .collect();
             let lost = lost_way.filter(|_| now >= FROM).into_iter().collect();
@@ -272,6 +280,37 @@
         (given_up.len(), first)
     }
 
+    /// A zone stayed dark for ever once the list had said that all its machines had failed.
+    #[test]
+    fn a_zone_without_machines_is_not_dark() {
+        let patience = Patience {
+            report: REPORT,
+            silent: limits::silent(3.0),
+            block_lease: BLOCK_LEASE,
+            started: SECOND,
+        };
+        let machine = |name, lost| Seen {
+            name,
+            zone: "a",
+            way: None,
+            left: None,
+            heard: SECOND,
+            deaf: false,
+            awaited: false,
+            lost,
+        };
+        let mut silence = Silence::default();
+        let all = ["x", "y", "z"].map(|name| machine(name, false));
+        silence.look(FROM, &patience, &all, &BTreeSet::new());
+        assert!(silence.zone_dark("a"));
+        // Their leases are over, and still nobody hears them: the cut goes on.
+        let all = ["x", "y", "z"].map(|name| machine(name, true));
+        silence.look(FROM + 60 * SECOND, &patience, &all, &BTreeSet::new());
+        assert!(silence.zone_dark("a"));
+        silence.look(FROM + 61 * SECOND, &patience, &[], &BTreeSet::new());
+        assert!(!silence.zone_dark("a"));
+    }
+
     #[test]
     fn silence_is_told_apart_at_every_size() {
         const LONG: u64 = 1_000 * SECOND;
