--- a/src/core/silence.rs
+++ b/src/core/silence.rs
@@ -73,8 +73,8 @@
     pub started: u64,
 }
 
-fn too_many(silent: usize, of: usize) -> bool {
-    silent > 2 && silent as f64 > limits::SILENT_SHARE * of as f64
+fn too_many(silent: usize, of: usize, share: f64) -> bool {
+    silent > 2 && silent as f64 > share * of as f64
 }
 
 impl Patience {
@@ -137,31 +137,36 @@
         }
         // Those that have not come to a new leader have no way yet: they are judged against all that should.
         let awaited: Vec<&str> = lit.iter().filter(|m| m.awaited).map(|m| m.name).collect();
-        if !too_many(awaited.len(), lit.len()) {
+        if !too_many(awaited.len(), lit.len(), limits::SILENT_SHARE) {
             up.extend(awaited);
         }
+        // They fall due one after the other over an interval: those that are late already count, or the first of
+        // them would be given up before they were too many.
+        let late = |m: &Seen| m.deaf || now >= m.heard + p.report / 4 * 5 + limits::LATE;
         let mut ways: BTreeMap<Option<usize>, Vec<&Seen>> = BTreeMap::new();
         for m in lit.iter().filter(|m| !m.awaited) {
             ways.entry(m.way).or_default().push(m);
         }
-        for (way, here) in ways {
-            let light = self.ways.get(&way).copied().unwrap_or_default();
+        let way_light = |way: &Option<usize>| self.ways.get(way).copied().unwrap_or_default();
+        let heard = ways.iter().filter(|(way, _)| back(way_light(way))).flat_map(|(_, here)| here);
+        let (known, all_late) = heard.fold((0, 0), |(n, l), m| (n + 1, l + usize::from(late(m))));
+        let many = too_many(all_late, known, limits::SILENT_SHARE);
+        for (way, here) in &ways {
+            let (way, light) = (*way, way_light(way));
             // Those whose holder has crashed come another way, and only the dead are left on theirs.
             let left = |m: &&&Seen| m.left.is_some_and(|(from, at)| from == way && at >= light.dark_from());
             let block = here.len() + lit.iter().filter(left).count();
             let silent = |m: &&&Seen| now >= m.heard + p.silent;
-            // They fall due one after the other over an interval: those that are late already count, or the
-            // first of them would be given up before they were too many.
-            let late = |m: &&&Seen| now >= m.heard + p.report / 4 * 5 + limits::LATE;
-            let quiet = here.iter().filter(|m| late(m) || m.deaf).count();
+            let quiet = here.iter().filter(|m| late(m)).count();
             // A holder that is only out of touch answers what says nothing new until its lease ends.
             let wait = if light.dark {
                 light.dark_from() + p.block_lease + limits::COMES_LATE
             } else {
                 light.back()
             };
-            // Many that fall silent together although others are heard that way: their leases will tell.
-            if now < wait || too_many(quiet, block) {
+            // Many that fall silent together although others are heard, or most of a way's: their leases will
+            // tell. Few are not too many because chance put three of them on one way of nine.
+            if now < wait || many && !light.dark || too_many(quiet, block, limits::SILENT_WAY_SHARE) {
                 continue;
             }
             up.extend(here.iter().filter(|m| silent(m) || m.deaf).map(|m| m.name));
@@ -319,7 +324,7 @@
         let half = |n: usize| n / 2;
         type Size = fn(usize) -> usize;
         // What happens, to whom and for how long, a way that is lost, how many are to be given up, how soon.
-        let cases: [(&str, Trouble, Option<usize>, Size, u64); 9] = [
+        let cases: [(&str, Trouble, Option<usize>, Size, u64); 10] = [
             ("nothing", |_, _| 0, None, |_| 0, never),
             ("a machine dies", |i, _| if i == 5 { LONG } else { 0 }, None, |_| 1, at_once),
             ("a tenth dies", |i, _| if i % 10 == 4 { LONG } else { 0 }, None, |n| n / 10, at_once),
@@ -330,6 +335,14 @@
                 |n| n / 10,
                 at_once,
             ),
+            // A third of those that report one way: chance on a small fleet.
+            (
+                "a ninth dies, all of one way",
+                |i, _| if i % 9 == 1 { LONG } else { 0 },
+                None,
+                |n| (n + 7) / 9,
+                at_once,
+            ),
             ("a third of each zone at once", |i, _| if i % 6 < 2 { LONG } else { 0 }, None, |_| 0, never),
             ("a zone is cut off", |i, _| if i % 2 == 1 { 45 * SECOND } else { 0 }, None, |_| 0, never),
             ("a zone for good", |i, _| if i % 2 == 1 { LONG } else { 0 }, None, |_| 0, never),
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -99,6 +99,8 @@
 /// Suspected machines are deleted ahead of the end of their lease only while at most this share (or
 /// two machines) is silent: when more are, the fault may well be on our side.
 pub const SILENT_SHARE: f64 = 0.25;
+/// The same of the machines that report one way, which may be at fault although others are heard by it.
+pub const SILENT_WAY_SHARE: f64 = 0.5;
 
 /// Reports running without a trace of the answer before them, after which a machine is deaf: it gets no
 /// new tasks and is deleted. One lost answer is ordinary.
