--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,27 @@
 //! What the tests of the core share.
 
 use dockpier::core::model::*;
+use dockpier::core::Config;
+use dockpier::limits;
+use dockpier::settings::{Operator, Team, Workers};
+
+/// A leader of one team without limits, in two zones, with no holders and nothing scarce.
+pub fn config() -> Config {
+    Config {
+        token: 1,
+        operator: Operator::default(),
+        workers: Workers { report_s: 1.0, lease_s: 10.0, cancel_s: 40.0 },
+        teams: vec![Team { name: "t".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 }],
+        zones: vec!["a".into(), "b".into()],
+        list_lag_s: 3.0,
+        round_probes: limits::ROUND_PROBES,
+        cpu_share: 1.0,
+        write_rps: 1000.0,
+        record_machines: 3,
+        rentals_at_once: 10,
+        block_lease: 0,
+    }
+}
 
 /// A job of one-slot tasks that may run anywhere.
 pub fn spec(uid: u64, kind: Kind, priority: Priority, tasks: u32) -> JobSpec {
--- a/tests/core_rules.rs
+++ b/tests/core_rules.rs
@@ -2,11 +2,13 @@
 //! lost, reports that arrive late, machines that die, changes of leader. The model keeps the truth and
 //! checks the protocol's rules against it after every step; virtual time, fixed seeds.
 
+mod common;
+
 use dockpier::blocks::{Block, Word};
 use dockpier::core::model::*;
 use dockpier::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob, StoredMachine};
 use dockpier::limits::{self, SECOND};
-use dockpier::settings::{Operator, Team, Workers};
+use dockpier::settings::{Team, Workers};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,17 +20,10 @@
 fn config(token: u64, gpus_max: f64) -> Config {
     Config {
         token,
-        operator: Operator::default(),
         workers: Workers { report_s: 1.0, lease_s: LEASE_S, cancel_s: 40.0 },
         teams: vec![Team { name: "team".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max }],
-        zones: vec!["a".into(), "b".into()],
-        list_lag_s: 3.0,
-        round_probes: limits::ROUND_PROBES,
-        cpu_share: 1.0,
-        write_rps: 1000.0,
-        record_machines: 3,
-        rentals_at_once: 10,
         block_lease: BLOCK_LEASE,
+        ..common::config()
     }
 }
 
@@ -46,25 +41,20 @@
 fn job(rng: &mut SmallRng, uid: u64) -> JobSpec {
     let service = rng.random_bool(0.3);
     let kinds = [Kind::Array, Kind::Array, Kind::Gang];
+    let kind = if service { Kind::Service } else { kinds[rng.random_range(0..3)] };
+    let priority = if service { Priority::Critical } else { Priority::Low };
+    let tasks = rng.random_range(1..6);
     JobSpec {
-        uid: Uid(uid),
-        class: "c".into(),
         team: "team".into(),
-        kind: if service { Kind::Service } else { kinds[rng.random_range(0..3)] },
-        priority: if service { Priority::Critical } else { Priority::Low },
-        tasks: rng.random_range(1..6),
         needs: Resources::needed(4.0, 1.0, 14.0),
         image: format!("i{}", rng.random_range(0..3)),
         image_gb: 1.0,
-        types: None,
         zone: rng.random_bool(0.1).then(|| "a".into()),
         one_zone: !service && rng.random_bool(0.2),
         spread: service,
         spot: !service,
         estimate_s: 8.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
+        ..common::spec(uid, kind, priority, tasks)
     }
 }
 
--- a/tests/elastic_model.rs
+++ b/tests/elastic_model.rs
@@ -6,7 +6,7 @@
 use dockpier::core::model::*;
 use dockpier::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob, StoredMachine};
 use dockpier::limits::{self, SECOND};
-use dockpier::settings::{Operator, Team, Workers};
+use dockpier::settings::Operator;
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -34,18 +34,9 @@
 impl Bed {
     fn new(machines: usize, gap_s: f64) -> Bed {
         let config = Config {
-            token: 1,
             operator: Operator { rescale_gap_s: gap_s, ..Operator::default() },
-            workers: Workers { report_s: 1.0, lease_s: 10.0, cancel_s: 40.0 },
-            teams: vec![Team { name: "t".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 }],
             zones: vec!["a".into()],
-            list_lag_s: 3.0,
-            round_probes: limits::ROUND_PROBES,
-            cpu_share: 1.0,
-            write_rps: 1000.0,
-            record_machines: 3,
-            rentals_at_once: 10,
-            block_lease: 0,
+            ..common::config()
         };
         let mut bed = Bed {
             core: Core::new(config, SECOND),
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -6,7 +6,7 @@
 use dockpier::core::model::*;
 use dockpier::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob};
 use dockpier::limits::{self, SECOND};
-use dockpier::settings::{Operator, Team, Workers};
+use dockpier::settings::{Operator, Workers};
 use std::collections::{BTreeMap, BTreeSet};
 
 const MACHINES: usize = 1_900;
@@ -49,21 +49,13 @@
 
 impl Fleet {
     fn new(machines: usize) -> Fleet {
-        let zones = vec!["a".to_string(), "b".to_string()];
         let config = Config {
-            token: 1,
             // Machines without work are kept: here they are there to be looked at.
             operator: Operator { idle_s: 3_600.0, ..Operator::default() },
             workers: Workers { report_s: 4.0, lease_s: 20.0, cancel_s: 45.0 },
-            teams: vec![Team { name: "t".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 }],
-            zones: zones.clone(),
-            list_lag_s: 3.0,
-            round_probes: limits::ROUND_PROBES,
             cpu_share: 0.2,
-            write_rps: 1000.0,
             record_machines: 12,
-            rentals_at_once: 10,
-            block_lease: 0,
+            ..common::config()
         };
         let machine_type = MachineType {
             name: "m".into(),
@@ -71,7 +63,7 @@
             price: 1.0,
             spot_price: None,
             boot_s: 60.0,
-            zones,
+            zones: config.zones.clone(),
         };
         let mut fleet = Fleet {
             core: Core::new(config, SECOND),
