Gangs: mended while they wait, ended as a whole, started where a report is due; lowered limits of the state service

Attestations are answered only where they brought news: two members that did not take each other's answered one another for ever (the network test ran out of memory).

--- a/src/api.rs
+++ b/src/api.rs
@@ -215,7 +215,7 @@
         let Some(team) = self.teams.iter().find(|t| t.name == job.team) else {
             return Ok(Some(format!("unknown team {}", job.team)));
         };
-        let count = if job.kind == Kind::Service { i64::from(job.tasks) } else { 1 };
+        let count = if job.kind == Kind::Array { 1 } else { i64::from(job.tasks) };
         let needs = job.needs.times(count);
         let limit = Resources::offered(team.cpus_max, team.gpus_max, 0.0);
         if team.cpus_max > 0.0 && needs.cpus > limit.cpus || team.gpus_max > 0.0 && needs.gpus > limit.gpus {
@@ -247,6 +247,10 @@
         self.may_ask(1)?;
         let (live, over) = (store::live(job.uid), store::over(job.uid));
         let record = LiveRecord { submission, accepted_ms: wall_ms() };
+        let bytes = serde_json::to_vec(&record).map_err(|e| Refusal::Malformed(e.to_string()))?;
+        if bytes.len() > self.store.value_most() {
+            return Err(Refusal::Never("its names are too long to be stored".into()));
+        }
         let record = store::write(&live, &record).map_err(|e| Refusal::Malformed(e.to_string()))?;
         let absent = vec![store::compare(&live, 0), store::compare(&over, 0)];
         match self.store.commit(absent, vec![record]).await {
--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -55,7 +55,7 @@
 
 /// A machine that has room for a task, as `find` weighs it.
 struct Candidate<'a> {
-    /// Kind, coldness, surplus (see `place::cost`): the same for every further task put there.
+    /// Kind, coldness, surplus (see `place::cost`), and for gangs the wait for its report: the same for every further task put there.
     base: [i64; 3],
     emptiness: i64,
     machine: &'a Machine,
@@ -212,7 +212,7 @@
         self.round_due = self.now + rest.max(idle);
     }
 
-    fn wait(&mut self, uid: Uid, why: &'static str) {
+    pub fn wait(&mut self, uid: Uid, why: &'static str) {
         if let Some(job) = self.jobs.get_mut(&uid) {
             if job.waits_for != why {
                 debug!(job = %uid, why, waiting = job.waiting.len(), "waits");
@@ -239,11 +239,9 @@
             return self.wait(uid, "team usage not known yet");
         }
         let held = job.places.len() as u32;
-        // A gang starts only whole: one that has lost a task is stopped and starts again, since the
-        // others would only wait for a mate that no longer comes.
+        // A gang starts only whole.
         if job.spec.kind == Kind::Gang && held > 0 {
-            self.stop_all(uid);
-            return self.wait(uid, "its gang is incomplete");
+            return self.mend_gang(uid, room, probes);
         }
         let running = held.saturating_sub(room.stopping.get(&uid).copied().unwrap_or(0));
         let fresh = held == 0;
@@ -279,6 +277,9 @@
                 }
             }
             let attempt = self.next_attempt();
+            if let Some(job) = self.jobs.get_mut(&uid) {
+                job.short_since = None;
+            }
             for machine in found {
                 self.assign(uid, &machine, attempt, room);
             }
@@ -307,7 +308,7 @@
     /// that is best stays best until it is full, since each task only makes it fuller; so the candidates
     /// are weighed once, and the zones are compared by their best ones. `now`: only places where its image
     /// is, or can be fetched at once.
-    fn find(&self, job: &Job, want: u32, now: bool, room: &Room, probes: &mut usize) -> Vec<String> {
+    pub fn find(&self, job: &Job, want: u32, now: bool, room: &Room, probes: &mut usize) -> Vec<String> {
         *probes += room.free.len();
         let mut zones = ZoneCount::of(job, &self.machines);
         let pinned = if job.spec.one_zone && job.places.is_empty() {
@@ -330,7 +331,11 @@
             {
                 continue;
             }
-            let (base, emptiness) = place::cost(job, machine, free);
+            let (mut base, emptiness) = place::cost(job, machine, free);
+            // All of a gang wait for the last of them: machines whose next report is due come first.
+            if job.spec.kind == Kind::Gang {
+                base[2] += 2 * self.report_due_s(machine);
+            }
             // Images that are fetched at the same time share the rate: one after the other, the first is
             // there sooner and the last no later.
             if now && base[1] > 1 {
@@ -505,7 +510,7 @@
                 && !self.within_guarantee(&victim.spec.team, &Resources::default())
     }
 
-    fn assign(&mut self, uid: Uid, machine: &str, attempt: u64, room: &mut Room) {
+    pub fn assign(&mut self, uid: Uid, machine: &str, attempt: u64, room: &mut Room) {
         let Some(job) = self.jobs.get_mut(&uid) else { return };
         let Some(task) = job.waiting.pop_first() else { return };
         job.places.entry(task).or_default().push(machine.into());
--- /dev/null
+++ b/src/core/gang.rs
@@ -0,0 +1,97 @@
+//! Gangs: tasks that run together or not at all. They find one another by their attempt number, wait for one
+//! another, start together and end together; the operators' page on gangs (`docs/design.md`) has the details.
+
+use super::elastic::Room;
+use super::model::{Job, Kind, Machine, TaskStatus, Uid};
+use super::Core;
+use crate::limits;
+use std::collections::BTreeSet;
+
+/// How far a gang is, by what is known of its tasks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// None of its tasks is anywhere.
+    Nowhere,
+    /// All are placed under one attempt.
+    Whole,
+    /// Some are placed and wait for the rest, which may join them under the same attempt.
+    Waiting { attempt: u64 },
+    /// A task is gone since it ran, or was told to stop, or gave up waiting: the attempt is over, and the next
+    /// one begins when each of its tasks is provably gone.
+    Broken,
+}
+
+impl Core {
+    /// Rebuilt from the tasks themselves, so that a new leader that has heard all machines knows as much.
+    pub fn stage(&self, job: &Job) -> Stage {
+        let mut attempts = BTreeSet::new();
+        let mut broken = false;
+        for (_, _, task) in self.placed(job) {
+            attempts.insert(task.attempt);
+            let runs = matches!(task.status, TaskStatus::Running | TaskStatus::Saving);
+            let part = (job.places.len() as u32) < job.spec.tasks;
+            broken |= task.stopping.is_some() || runs && part || task.attempt <= job.ended_attempt;
+        }
+        match attempts.first() {
+            None => Stage::Nowhere,
+            Some(_) if broken || attempts.len() > 1 => Stage::Broken,
+            Some(_) if job.places.len() as u32 == job.spec.tasks => Stage::Whole,
+            Some(attempt) => Stage::Waiting { attempt: *attempt },
+        }
+    }
+
+    /// A gang of which something is placed and something waits. Returns whether it is left as it is.
+    pub fn mend_gang(&mut self, uid: Uid, room: &mut Room, probes: &mut usize) {
+        let Some(job) = self.jobs.get(&uid) else { return };
+        match self.stage(job) {
+            Stage::Waiting { attempt } => {
+                let now = self.now;
+                let missing = job.waiting.len() as u32;
+                let may = !self.team_limited(&job.spec.team) || self.team_room(job) >= missing;
+                let found = if may { self.find(job, missing, false, room, probes) } else { Vec::new() };
+                if found.len() as u32 == missing {
+                    for machine in found {
+                        self.assign(uid, &machine, attempt, room);
+                    }
+                    return;
+                }
+                // Its places must not idle until the workers give up by themselves.
+                let patience = limits::gang_patience(self.config.workers.gang_wait_s);
+                let Some(job) = self.jobs.get_mut(&uid) else { return };
+                let since = *job.short_since.get_or_insert(now);
+                if now < since + patience {
+                    return self.wait(uid, "no free slot for the rest of its gang");
+                }
+                self.stop_all(uid);
+                self.wait(uid, "its gang was not complete in time");
+            }
+            // What is left of it would only find out by itself, up to `gang_peer_s` later.
+            Stage::Broken => {
+                self.stop_all(uid);
+                self.wait(uid, "its last attempt has not ended everywhere");
+            }
+            Stage::Nowhere | Stage::Whole => {}
+        }
+    }
+
+    /// A machine is about to go. Its gangs save together or not at all: every machine is told at once, with the
+    /// time to save and to wait for the others; told one after the other, or one alone, the save would fail.
+    pub fn stop_gang(&mut self, uid: Uid) {
+        let Some(job) = self.jobs.get(&uid).filter(|j| j.spec.kind == Kind::Gang) else { return };
+        let silent = limits::silent(self.config.workers.report_s);
+        let reachable = self.placed(job).all(|(_, name, _)| {
+            self.machines.get(name).is_some_and(|m| self.now < m.heard + silent && m.unheard == 0)
+        });
+        let grace = if reachable { job.spec.save_s + self.config.workers.gang_peer_s } else { 0.0 };
+        let places: Vec<_> = self.placed(job).map(|(id, machine, _)| (id, machine.to_string())).collect();
+        for (id, machine) in places {
+            self.stop(&machine, id, grace);
+        }
+    }
+
+    /// In how many seconds the machine's next report is due, by which a start reaches it.
+    pub fn report_due_s(&self, machine: &Machine) -> i64 {
+        let report = limits::micros(self.config.workers.report_s);
+        ((machine.heard + report).saturating_sub(self.now) / limits::SECOND) as i64
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 pub mod consolidate;
 pub mod elastic;
 pub mod fleet;
+pub mod gang;
 pub mod model;
 pub mod overview;
 pub mod place;
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -358,6 +358,10 @@
     pub paused_until: u64,
     /// Run times of its finished tasks: sum in microseconds, and how many.
     pub ran: (u64, u64),
+    /// The last attempt of a gang that is known to be over.
+    pub ended_attempt: u64,
+    /// Since when a gang that waits for some of its tasks has found no room for them.
+    pub short_since: Option<u64>,
     /// Why it waits, for the operators.
     pub waits_for: &'static str,
 }
@@ -384,6 +388,8 @@
             errors: 0,
             paused_until: 0,
             ran: (0, 0),
+            ended_attempt: 0,
+            short_since: None,
             waits_for: "",
         }
     }
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -27,6 +27,8 @@
     since: u64,
     /// The members of a write under way.
     writing: Option<BTreeSet<String>>,
+    /// Records that took members over from this one: until they are written, this one stays as it is.
+    after: Vec<String>,
 }
 
 #[derive(Debug, Default)]
@@ -89,6 +91,7 @@
             need: Need::Nothing,
             since: now,
             writing: None,
+            after: Vec::new(),
         });
         let joins = group.members.insert(name.to_string());
         // One that waits to be written, or is being written, need not ask again.
@@ -97,18 +100,34 @@
         }
     }
 
-    /// A record as the last leader left it.
+    /// A record as the last leader left it. One that is larger than the state service may soon take (an earlier
+    /// version made it, or other settings) could not be written again: the rest of it moves to new records, and
+    /// only when those are written is the old one written without it, so that no machine is ever in none.
     pub fn load_record(&mut self, key: String, machines: Vec<StoredMachine>) {
-        let members: BTreeSet<String> = machines.iter().map(|m| m.name.clone()).collect();
+        let now = self.now;
+        let mut rest: Vec<String> = machines.iter().map(|m| m.name.clone()).collect();
+        rest.sort();
         for stored in machines {
-            self.records.of.insert(stored.name.clone(), key.clone());
             let machine = self.machine(&stored);
             machine.recorded = true;
             machine.inherited = true;
             machine.images = stored.images;
         }
-        let group = Group { members, need: Need::Nothing, since: self.now, writing: None };
-        self.records.groups.insert(key, group);
+        let most = self.config.record_machines.max(1);
+        let mut keys = Vec::new();
+        while rest.len() > most {
+            let members: BTreeSet<String> = rest.split_off(rest.len() - most).into_iter().collect();
+            self.records.made += 1;
+            let new = format!("{}-{}", self.config.token, self.records.made);
+            self.records.of.extend(members.iter().map(|name| (name.clone(), new.clone())));
+            let group = Group { members, need: Need::New, since: now, writing: None, after: Vec::new() };
+            self.records.groups.insert(new.clone(), group);
+            keys.push(new);
+        }
+        let need = if keys.is_empty() { Need::Nothing } else { Need::Gone };
+        self.records.of.extend(rest.iter().map(|name| (name.clone(), key.clone())));
+        let members = rest.into_iter().collect();
+        self.records.groups.insert(key, Group { members, need, since: now, writing: None, after: keys });
     }
 
     /// The machine is gone.
@@ -151,15 +170,20 @@
     /// Returns whether all that needed it was written, and so whether less urgent things may follow.
     fn write_records(&mut self, need: Need, wait: u64) -> bool {
         let now = self.now;
-        let due = |g: &Group| g.need >= need && g.writing.is_none() && now >= g.since + wait;
-        let due: Vec<String> =
-            self.records.groups.iter().filter(|(_, g)| due(g)).map(|(key, _)| key.clone()).collect();
+        let groups = &self.records.groups;
+        let written =
+            |key: &String| groups.get(key).is_none_or(|g| g.need < Need::New && g.writing.is_none());
+        let due = |g: &Group| {
+            g.need >= need && g.writing.is_none() && now >= g.since + wait && g.after.iter().all(written)
+        };
+        let due: Vec<String> = groups.iter().filter(|(_, g)| due(g)).map(|(key, _)| key.clone()).collect();
         for key in due {
             if !self.writes.take(1.0) {
                 return false;
             }
             let Some(group) = self.records.groups.get_mut(&key) else { continue };
             group.need = Need::Nothing;
+            group.after.clear();
             group.writing = Some(group.members.clone());
             let machines = group.members.iter().filter_map(|name| self.machines.get(name));
             let machines = machines.map(stored_machine).collect();
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -253,9 +253,18 @@
         match cause {
             Cause::Done => {
                 if let Some(job) = self.jobs.get_mut(&id.uid).filter(|j| !j.over && id.task < j.spec.tasks) {
-                    if job.spec.kind != Kind::Service && job.done.insert(id.task) {
-                        job.waiting.remove(&id.task);
-                        job.uncommitted.insert(id.task);
+                    // The tasks of a gang complete together: its record must not wait for the report of a
+                    // machine that is lost.
+                    let ended = match job.spec.kind {
+                        Kind::Service => 0..0,
+                        Kind::Gang => 0..job.spec.tasks,
+                        Kind::Array => id.task..id.task + 1,
+                    };
+                    let before = job.done.len();
+                    job.done.extend(ended.clone());
+                    if job.done.len() > before {
+                        job.waiting.retain(|task| !ended.contains(task));
+                        job.uncommitted.extend(ended);
                         job.uncommitted_since.get_or_insert(now);
                         job.errors = 0;
                     }
@@ -279,6 +288,12 @@
                     }
                 }
             }
+            // Stopped, or it found its mates gone or never come: the attempt is over for all of a gang.
+            Cause::Stopped => {
+                if let Some(job) = self.jobs.get_mut(&id.uid).filter(|j| j.spec.kind == Kind::Gang) {
+                    job.ended_attempt = job.ended_attempt.max(attempt);
+                }
+            }
             Cause::NoRoom | Cause::Busy => {
                 if let Some(machine) = self.machines.get_mut(name) {
                     machine.no_room_until = now + limits::NO_ROOM_PAUSE;
@@ -346,12 +361,18 @@
             .filter_map(|id| self.jobs.get(&id.uid).map(|j| (*id, j)))
             .filter(|(_, job)| {
                 let saves = job.spec.checkpoint_s > 0.0;
-                job.spec.kind == Kind::Service || saves && left_s <= job.spec.save_s + limits::RECALL_SLACK_S
+                let gang = job.spec.kind == Kind::Gang;
+                let together = if gang { self.config.workers.gang_peer_s } else { 0.0 };
+                let slack = job.spec.save_s + together + limits::RECALL_SLACK_S;
+                job.spec.kind == Kind::Service || saves && left_s <= slack
             })
-            .map(|(id, job)| (id, job.spec.save_s))
+            .map(|(id, job)| (id, job.spec.kind, job.spec.save_s))
             .collect();
-        for (id, grace) in stops {
-            self.stop(name, id, grace);
+        for (id, kind, grace) in stops {
+            match kind {
+                Kind::Gang => self.stop_gang(id.uid),
+                _ => self.stop(name, id, grace),
+            }
         }
     }
 
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -233,19 +233,27 @@
         Some(Attestation { to, echo, age, quiet: lost, held, last: self.last, withdrawn })
     }
 
-    /// A member's attestation. Returns the jobs that turned out to be withdrawn.
-    pub fn attested(&mut self, now: u64, from: usize, life: u64, attestation: &Attestation) -> Vec<Uid> {
+    /// What a member attests. Returns the jobs that turned out to be withdrawn, and whether it told of any that
+    /// it had not told of before.
+    pub fn attested(
+        &mut self,
+        now: u64,
+        from: usize,
+        life: u64,
+        attestation: &Attestation,
+    ) -> (Vec<Uid>, bool) {
         let read = self.read;
         let own_life = self.life;
         let Some(member) = self.members.get_mut(from).filter(|m| m.life == life && life != 0) else {
-            return Vec::new();
+            return (Vec::new(), false);
         };
         // For another life of ours, or from before this one.
         if attestation.to != own_life || attestation.echo > now || attestation.echo < self.started {
-            return Vec::new();
+            return (Vec::new(), false);
         }
         member.holds = member.holds.max(attestation.held);
         // One that was overtaken lacks nothing that the later one did not have.
+        let news = attestation.last > member.held;
         member.held = member.held.max(attestation.last);
         let began = now.saturating_sub(shortened(attestation.age));
         if began <= member.known.max(read) {
@@ -253,7 +261,7 @@
             member.known = member.known.max(attestation.echo + quiet);
         }
         let over = attestation.withdrawn.iter().map(|uid| Uid(*uid));
-        over.filter(|uid| self.note_over(now, *uid)).collect()
+        (over.filter(|uid| self.note_over(now, *uid)).collect(), news)
     }
 
     /// Whether a member of an earlier version may take it that we have no state service for proof that
--- a/src/knowledge_tests.rs
+++ b/src/knowledge_tests.rs
@@ -24,7 +24,7 @@
 ) -> Vec<Uid> {
     from.0.heartbeat(to.1, to.2, true, now);
     let attestation = from.0.attest_to(now, to.1, lost).unwrap();
-    to.0.attested(now, from.1, from.2, &attestation)
+    to.0.attested(now, from.1, from.2, &attestation).0
 }
 
 fn report(uids: &[u64]) -> Report {
@@ -105,15 +105,17 @@
     a.heartbeat(1, 71, true, NOW + 2 * SECOND);
     let attestation = a.attest_to(NOW + 2 * SECOND, 1, false).unwrap();
     // Its sender has not shown that it attests, or is another life of it.
-    assert!(b.attested(NOW + 2 * SECOND, 0, 70, &attestation).is_empty());
+    assert_eq!(b.attested(NOW + 2 * SECOND, 0, 70, &attestation), (vec![], false));
     b.heartbeat(0, 72, true, NOW);
-    assert!(b.attested(NOW + 2 * SECOND, 0, 70, &attestation).is_empty());
+    assert_eq!(b.attested(NOW + 2 * SECOND, 0, 70, &attestation), (vec![], false));
     b.heartbeat(0, 70, true, NOW);
     let other = Attestation { to: 73, ..attestation.clone() };
-    assert!(b.attested(NOW + 2 * SECOND, 0, 70, &other).is_empty());
+    assert_eq!(b.attested(NOW + 2 * SECOND, 0, 70, &other), (vec![], false));
     let early = Attestation { echo: NOW - 1, ..attestation.clone() };
-    assert!(b.attested(NOW + 2 * SECOND, 0, 70, &early).is_empty());
-    assert_eq!(b.attested(NOW + 2 * SECOND, 0, 70, &attestation), [Uid(1)]);
+    assert_eq!(b.attested(NOW + 2 * SECOND, 0, 70, &early), (vec![], false));
+    assert_eq!(b.attested(NOW + 2 * SECOND, 0, 70, &attestation), (vec![Uid(1)], true));
+    // A copy is no news: answered, it would be answered in turn, for ever.
+    assert_eq!(b.attested(NOW + 2 * SECOND, 0, 70, &attestation), (vec![], false));
     // Earlier versions drop the connection at a frame that they do not know.
     a.heartbeat(1, 71, false, NOW + 3 * SECOND);
     assert_eq!(a.attest_to(NOW + 3 * SECOND, 1, false), None);
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -613,9 +613,11 @@
         life: u64,
         attestation: &Attestation,
     ) -> (Vec<Uid>, Vec<Action>) {
-        let over = self.knowledge.attested(now, from, life, attestation);
+        let (over, news) = self.knowledge.attested(now, from, life, attestation);
         let mut actions = Vec::new();
-        if !attestation.withdrawn.is_empty() {
+        // Answered only where it brought news: two members that do not take each other's attestations, of other
+        // lives say, answered one another for ever, and every copy doubled what was under way (the network test).
+        if news {
             self.attest(now, from, &mut actions);
         }
         (over, actions)
--- a/src/leadership_tests.rs
+++ b/src/leadership_tests.rs
@@ -475,8 +475,10 @@
             self.store.live.insert(Uid(self.store.next_job));
             // Every worker has a task of every job; it started while somebody led.
             if self.leader().is_some() {
-                let tasks = Uid(self.store.next_job);
-                self.workers.iter_mut().for_each(|w| drop(w.tasks.insert(tasks)));
+                let job = Uid(self.store.next_job);
+                for worker in &mut self.workers {
+                    worker.tasks.insert(job);
+                }
             }
             // The newest have not been read by everybody yet.
             if self.store.live.len() > 4 {
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -187,6 +187,17 @@
 pub const JOB_PAUSE_MAX: u64 = 60_000_000;
 /// A machine that refused a start for want of room is left alone this long.
 pub const NO_ROOM_PAUSE: u64 = 3_000_000;
+/// Where the settings do not say how long a gang's tasks wait for one another, and how soon they notice a loss:
+/// what the operators' files have at least and at most.
+pub const GANG_WAIT_S: f64 = 30.0;
+pub const GANG_PEER_S: f64 = 6.0;
+
+/// A gang that waits for some of its tasks and finds no room for them is stopped whole after this: within the
+/// time that its workers wait, a report and a fetch included, so that its places do not idle until then.
+pub fn gang_patience(gang_wait_s: f64) -> u64 {
+    micros(gang_wait_s / 3.0)
+}
+
 /// On a spot notice, tasks that save are stopped when their saving time plus this is left.
 pub const RECALL_SLACK_S: f64 = 4.0;
 
--- a/src/server.rs
+++ b/src/server.rs
@@ -798,18 +798,26 @@
                     Command::Committed { uid, tasks, outcome }
                 });
             }
-            Effect::Finish { uid, entry, tasks, chunks } => self.ask(async move {
-                let over = Over { status: "done".into(), tasks };
-                let mut changes: Vec<_> = store::write(&store::over(uid), over).into_iter().collect();
-                changes.push(store::remove(&store::live(uid)));
-                changes.extend(chunks.iter().map(|chunk| store::remove(&store::done(uid, *chunk))));
-                let when = vec![leads, store::compare(&store::live(uid), entry)];
-                let outcome = settle(store.commit(when, changes).await).await;
-                if outcome == Outcome::Done {
-                    info!(job = %uid, "done");
-                }
-                Command::Finished { uid, outcome }
-            }),
+            Effect::Finish { uid, entry, tasks, mut chunks } => {
+                // What does not fit the transaction is removed after it: readers ask for the job first.
+                let fit = self.settings.deployment.state.txn_ops.saturating_sub(2);
+                let rest = chunks.split_off(fit.min(chunks.len()));
+                let epoch = self.entry;
+                self.ask(async move {
+                    let over = Over { status: "done".into(), tasks };
+                    let mut changes: Vec<_> = store::write(&store::over(uid), over).into_iter().collect();
+                    changes.push(store::remove(&store::live(uid)));
+                    changes.extend(chunks.iter().map(|chunk| store::remove(&store::done(uid, *chunk))));
+                    let when = vec![leads, store::compare(&store::live(uid), entry)];
+                    let outcome = settle(store.commit(when, changes).await).await;
+                    if outcome == Outcome::Done {
+                        info!(job = %uid, "done");
+                        let rest = rest.into_iter().map(|chunk| store::done(uid, chunk)).collect();
+                        tokio::spawn(sweep(store, rest, epoch));
+                    }
+                    Command::Finished { uid, outcome }
+                })
+            }
             Effect::Record { key, machines } => self.ask(async move {
                 let path = format!("{}{key}", store::FLEET);
                 let records: Vec<FleetRecord> = machines.into_iter().map(FleetRecord::from).collect();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,5 +1,6 @@
 //! The platform's settings file (JSON) and the operators' own (S-expressions), both checked.
 
+use crate::limits;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -86,6 +87,21 @@
     pub report_s: f64,
     pub lease_s: f64,
     pub cancel_s: f64,
+    /// How long a task of a gang waits for the others, and how soon it notices that one is gone.
+    #[serde(default = "Workers::gang_wait_s")]
+    pub gang_wait_s: f64,
+    #[serde(default = "Workers::gang_peer_s")]
+    pub gang_peer_s: f64,
+}
+
+impl Workers {
+    fn gang_wait_s() -> f64 {
+        limits::GANG_WAIT_S
+    }
+
+    fn gang_peer_s() -> f64 {
+        limits::GANG_PEER_S
+    }
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -94,6 +110,31 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// What the limits will be from some moment on, without notice.
+    #[serde(default)]
+    pub next: Option<NextLimits>,
+}
+
+/// Limits that are missing stay as they are.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default)]
+pub struct NextLimits {
+    pub rps: Option<f64>,
+    pub write_rps: Option<f64>,
+    pub value_kb: Option<f64>,
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    /// The smaller of now and next: the change comes without notice, and a record that is too large for it
+    /// could not be written again.
+    fn lowered(&mut self) {
+        let Some(next) = &self.next else { return };
+        self.rps = next.rps.map_or(self.rps, |v| v.min(self.rps));
+        self.write_rps = next.write_rps.map_or(self.write_rps, |v| v.min(self.write_rps));
+        self.value_kb = next.value_kb.map_or(self.value_kb, |v| v.min(self.value_kb));
+        self.txn_ops = next.txn_ops.map_or(self.txn_ops, |v| v.min(self.txn_ops));
+    }
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -113,17 +154,19 @@
 
     pub fn parse(text: &str, file: &Path) -> Result<Self, SettingsError> {
         let mut json = serde_json::Deserializer::from_str(text);
-        let settings: Settings =
+        let mut settings: Settings =
             serde_path_to_error::deserialize(&mut json).map_err(|e| SettingsError::Field {
                 file: file.into(),
                 field: e.path().to_string(),
                 why: e.inner().to_string(),
             })?;
-        settings.check().map_err(|(field, why)| SettingsError::Field {
+        let refused = |(field, why): (&str, &str)| SettingsError::Field {
             file: file.into(),
             field: field.into(),
             why: why.into(),
-        })?;
+        };
+        settings.check().map_err(refused)?;
+        settings.deployment.state.lowered();
         Ok(settings)
     }
 
@@ -131,7 +174,8 @@
         let d = &self.deployment;
         let positive = |v: f64| v.is_finite() && v > 0.0;
         let amount = |v: f64| v.is_finite() && v >= 0.0;
-        let rules: [(&'static str, bool, &'static str); 15] = [
+        let next = d.state.next.as_ref();
+        let rules: [(&'static str, bool, &'static str); 21] = [
             ("deployment.resources.cpu", positive(d.resources.cpu), "must be above 0"),
             ("deployment.resources.memory_mb", positive(d.resources.memory_mb), "must be above 0"),
             ("deployment.resources.max_sockets", d.resources.max_sockets > 0, "must be above 0"),
@@ -162,6 +206,28 @@
             ),
             ("deployment.state.value_kb", d.state.value_kb >= 2.0, "records need at least 2"),
             ("deployment.state.txn_ops", d.state.txn_ops >= 3, "a transaction needs at least 3 changes"),
+            (
+                "deployment.workers.gang_wait_s",
+                positive(d.workers.gang_wait_s) && d.workers.gang_wait_s > d.workers.gang_peer_s,
+                "must be above gang_peer_s",
+            ),
+            ("deployment.workers.gang_peer_s", positive(d.workers.gang_peer_s), "must be above 0"),
+            ("deployment.state.next.rps", next.is_none_or(|n| n.rps.is_none_or(positive)), "must be above 0"),
+            (
+                "deployment.state.next.write_rps",
+                next.is_none_or(|n| n.write_rps.is_none_or(positive)),
+                "must be above 0",
+            ),
+            (
+                "deployment.state.next.value_kb",
+                next.is_none_or(|n| n.value_kb.is_none_or(|v| v.is_finite() && v >= 2.0)),
+                "records need at least 2",
+            ),
+            (
+                "deployment.state.next.txn_ops",
+                next.is_none_or(|n| n.txn_ops.is_none_or(|v| v >= 3)),
+                "a transaction needs at least 3 changes",
+            ),
             ("deployment.cloud", positive(d.cloud.rps) && amount(d.cloud.list_lag_s), "rps must be above 0"),
         ];
         match rules.into_iter().find(|(_, holds, _)| !holds) {
--- a/src/store.rs
+++ b/src/store.rs
@@ -68,6 +68,8 @@
     base: String,
     clock: Clock,
     answered: Arc<AtomicU64>,
+    /// Bytes that a value may have.
+    value_most: usize,
     /// What users' requests of this node may ask of the service: requests, and puts and deletes.
     users: Arc<Mutex<(Budget, Budget)>>,
 }
@@ -110,6 +112,7 @@
             base: format!("http://{address}"),
             clock,
             answered: Arc::new(AtomicU64::new(0)),
+            value_most: (limits.value_kb * 1024.0) as usize,
             users: Arc::new(Mutex::new((requests, writes))),
         }
     }
@@ -118,6 +121,10 @@
         self.clock.now()
     }
 
+    pub fn value_most(&self) -> usize {
+        self.value_most
+    }
+
     /// When it last answered this node.
     pub fn answered(&self) -> u64 {
         self.answered.load(Ordering::Relaxed)
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -10,7 +10,13 @@
     Config {
         token: 1,
         operator: Operator::default(),
-        workers: Workers { report_s: 1.0, lease_s: 10.0, cancel_s: 40.0 },
+        workers: Workers {
+            report_s: 1.0,
+            lease_s: 10.0,
+            cancel_s: 40.0,
+            gang_wait_s: 30.0,
+            gang_peer_s: 6.0,
+        },
         teams: vec![Team { name: "t".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 }],
         zones: vec!["a".into(), "b".into()],
         list_lag_s: 3.0,
--- a/tests/core_rules.rs
+++ b/tests/core_rules.rs
@@ -20,7 +20,13 @@
 fn config(token: u64, gpus_max: f64) -> Config {
     Config {
         token,
-        workers: Workers { report_s: 1.0, lease_s: LEASE_S, cancel_s: 40.0 },
+        workers: Workers {
+            report_s: 1.0,
+            lease_s: LEASE_S,
+            cancel_s: 40.0,
+            gang_wait_s: 30.0,
+            gang_peer_s: 6.0,
+        },
         teams: vec![Team { name: "team".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max }],
         block_lease: BLOCK_LEASE,
         ..common::config()
@@ -60,10 +66,22 @@
 
 struct Running {
     attempt: u64,
+    /// When its image is there, of a gang's task; when it ends, of any other.
     ends: u64,
     exited: Option<Cause>,
 }
 
+/// An attempt of a gang that has started.
+struct GangRun {
+    ends: u64,
+    /// Since when one of its tasks is gone or hangs.
+    missing: Option<u64>,
+}
+
+/// How long a gang's tasks wait for one another, and how soon they notice that one is gone.
+const GANG_WAIT: u64 = 30 * SECOND;
+const GANG_PEER: u64 = 6 * SECOND;
+
 /// One worker, the truth about what runs.
 struct Worker {
     spot: bool,
@@ -109,6 +127,8 @@
     specs: BTreeMap<Uid, JobSpec>,
     live: BTreeMap<Uid, (u64, BTreeSet<u32>)>,
     withdrawn: BTreeMap<Uid, u64>,
+    gangs: BTreeMap<(Uid, u64), GangRun>,
+    gangs_done: u64,
     over: BTreeSet<Uid>,
     completed: BTreeMap<Uid, BTreeSet<u32>>,
     recorded: BTreeMap<String, Vec<StoredMachine>>,
@@ -137,6 +157,8 @@
             specs: BTreeMap::new(),
             live: BTreeMap::new(),
             withdrawn: BTreeMap::new(),
+            gangs: BTreeMap::new(),
+            gangs_done: 0,
             over: BTreeSet::new(),
             completed: BTreeMap::new(),
             recorded: BTreeMap::new(),
@@ -196,6 +218,7 @@
         let (due, later) = std::mem::take(&mut self.later).into_iter().partition(|(at, _)| *at <= self.now);
         self.later = later;
         batch.extend(Vec::into_iter(due).map(|(_, c): (u64, Command)| c));
+        self.run_gangs();
         self.run_workers(&mut batch);
         self.run_holders(&mut batch);
         let effects = self.core.step(self.now, batch);
@@ -205,6 +228,56 @@
         self.check();
     }
 
+    /// The workers' side of gangs: a gang starts when its last task has its image, its tasks notice when one of
+    /// them is gone, and they complete together.
+    fn run_gangs(&mut self) {
+        let now = self.now;
+        let mut alive: BTreeMap<(Uid, u64), Vec<(String, TaskId)>> = BTreeMap::new();
+        let mut hanging = BTreeSet::new();
+        for (name, worker) in self.workers.iter().filter(|(_, w)| !w.dead && now < w.lease_until) {
+            for (id, task) in worker.tasks.iter().filter(|(_, t)| t.exited.is_none()) {
+                if self.specs[&id.uid].kind == Kind::Gang {
+                    alive.entry((id.uid, task.attempt)).or_default().push((name.clone(), *id));
+                    if now < worker.up_at {
+                        hanging.insert((id.uid, task.attempt));
+                    }
+                }
+            }
+        }
+        let mut exits: Vec<(String, TaskId, Cause)> = Vec::new();
+        for (key, members) in alive {
+            let whole = members.len() as u32 == self.specs[&key.0].tasks && !hanging.contains(&key);
+            let all = |cause| members.iter().map(move |(name, id)| (name.clone(), *id, cause));
+            if let Some(run) = self.gangs.get_mut(&key) {
+                if whole && now >= run.ends {
+                    self.completed.entry(key.0).or_default().extend(members.iter().map(|(_, id)| id.task));
+                    self.gangs_done += 1;
+                    exits.extend(all(Cause::Done));
+                } else if whole {
+                    run.missing = None;
+                } else if now >= *run.missing.get_or_insert(now) + GANG_PEER {
+                    exits.extend(all(Cause::Stopped));
+                }
+                continue;
+            }
+            let ready = |(name, id): &(String, TaskId)| self.workers[name].tasks[id].ends;
+            if whole && members.iter().all(|m| now >= ready(m)) {
+                let ends = now + self.rng.random_range(2..10) * SECOND;
+                self.gangs.insert(key, GangRun { ends, missing: None });
+            } else {
+                let tired = members.iter().filter(|m| now >= ready(m) + GANG_WAIT);
+                exits.extend(tired.map(|(name, id)| (name.clone(), *id, Cause::Stopped)));
+            }
+        }
+        for (name, id, cause) in exits {
+            let Some(worker) = self.workers.get_mut(&name).filter(|w| now >= w.up_at) else { continue };
+            if let Some(task) = worker.tasks.get_mut(&id) {
+                task.exited = Some(cause);
+                worker.next_report = now;
+            }
+        }
+    }
+
     fn run_workers(&mut self, batch: &mut Vec<Command>) {
         let now = self.now;
         let names: Vec<String> = self.workers.keys().cloned().collect();
@@ -221,7 +294,7 @@
                 worker.lease_until = now + limits::micros(LEASE_S);
             }
             for (id, task) in worker.tasks.iter_mut().filter(|(_, t)| t.exited.is_none()) {
-                if now >= task.ends && self.specs[&id.uid].kind != Kind::Service {
+                if now >= task.ends && self.specs[&id.uid].kind == Kind::Array {
                     task.exited = Some(Cause::Done);
                     self.completed.entry(id.uid).or_default().insert(id.task);
                     worker.next_report = now;
@@ -245,10 +318,12 @@
                 tasks: worker
                     .tasks
                     .iter()
-                    .map(|(id, t)| ReportedTask {
-                        id: *id,
-                        attempt: t.attempt,
-                        status: t.exited.map_or(TaskStatus::Running, TaskStatus::Exited),
+                    .map(|(id, t)| {
+                        let waits = self.specs[&id.uid].kind == Kind::Gang
+                            && !self.gangs.contains_key(&(id.uid, t.attempt));
+                        let status = if waits { TaskStatus::Fetching } else { TaskStatus::Running };
+                        let status = t.exited.map_or(status, TaskStatus::Exited);
+                        ReportedTask { id: *id, attempt: t.attempt, status }
                     })
                     .collect(),
             };
@@ -482,6 +557,9 @@
         let used = worker.tasks.iter().filter(|(_, t)| t.exited.is_none()).count();
         assert!(used < 2, "started without room: {id} on {name}");
         let exited = completed.then_some(Cause::Done);
+        // A gang's task waits for its image at first.
+        let gang = spec.kind == Kind::Gang;
+        let runs = if gang { self.now + self.rng.random_range(0..4) * SECOND } else { runs };
         worker.tasks.insert(id, Running { attempt, ends: runs, exited });
         worker.next_report = self.now;
         self.starts += 1;
@@ -574,7 +652,7 @@
     }
 }
 
-fn play(seed: u64, gpus_max: f64) -> (u64, u64) {
+fn play(seed: u64, gpus_max: f64) -> [u64; 4] {
     let mut world = World::new(seed, gpus_max);
     let mut uid = 0;
     for round in 0..60 {
@@ -602,15 +680,21 @@
     let stuck: Vec<_> = world.live.keys().filter_map(|u| world.core.jobs.get(u)).collect();
     assert!(world.live.is_empty(), "seed {seed}: never done: {stuck:#?} {}", world.core.fleet_line());
     assert!(world.answered_by_holders > 20, "seed {seed}: {}", world.answered_by_holders);
-    (world.starts, world.finished)
+    let broken = world.gangs.len() as u64 - world.gangs_done;
+    [world.starts, world.finished, world.gangs_done, broken]
 }
 
 /// Plays seeds; something must have gone on in them, else nothing was tested.
 fn play_all(seeds: std::ops::Range<u64>, gpus_max: f64) {
     let count = seeds.end - seeds.start;
-    let played = seeds.map(|seed| play(seed, gpus_max));
-    let (starts, finished) = played.fold((0, 0), |(s, f), (starts, finished)| (s + starts, f + finished));
+    let mut sums = [0; 4];
+    for seed in seeds {
+        sums.iter_mut().zip(play(seed, gpus_max)).for_each(|(sum, n)| *sum += n);
+    }
+    let [starts, finished, gangs, broken] = sums;
     assert!(starts > 40 * count && finished > 8 * count, "{starts} starts, {finished} jobs finished");
+    // Gangs ran to their end, and some were broken on the way.
+    assert!(gangs > 2 * count && broken > count / 15, "{gangs} gangs, {broken} broken");
 }
 
 #[test]
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -52,7 +52,13 @@
         let config = Config {
             // Machines without work are kept: here they are there to be looked at.
             operator: Operator { idle_s: 3_600.0, ..Operator::default() },
-            workers: Workers { report_s: 4.0, lease_s: 20.0, cancel_s: 45.0 },
+            workers: Workers {
+                report_s: 4.0,
+                lease_s: 20.0,
+                cancel_s: 45.0,
+                gang_wait_s: 30.0,
+                gang_peer_s: 6.0,
+            },
             cpu_share: 0.2,
             record_machines: 12,
             ..common::config()
