--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -38,6 +38,19 @@
     made: u64,
 }
 
+impl Records {
+    /// A key that no record has, `besides` included.
+    fn new_key(&mut self, token: u64, besides: &str) -> String {
+        loop {
+            self.made += 1;
+            let key = format!("{token}-{}", self.made);
+            if key != besides && !self.groups.contains_key(&key) {
+                return key;
+            }
+        }
+    }
+}
+
 /// The leader's share of the state service's puts and deletes.
 #[derive(Debug)]
 pub struct WriteBudget {
@@ -79,10 +92,7 @@
         let records = &mut self.records;
         let key = records.of.get(name).cloned().unwrap_or_else(|| {
             let open = records.groups.iter().rev().find(|(_, g)| g.members.len() < most);
-            open.map(|(key, _)| key.clone()).unwrap_or_else(|| {
-                records.made += 1;
-                format!("{}-{}", self.config.token, records.made)
-            })
+            open.map(|(key, _)| key.clone()).unwrap_or_else(|| records.new_key(self.config.token, ""))
         });
         records.of.insert(name.to_string(), key.clone());
         let now = self.now;
@@ -117,8 +127,7 @@
         let mut keys = Vec::new();
         while rest.len() > most {
             let members: BTreeSet<String> = rest.split_off(rest.len() - most).into_iter().collect();
-            self.records.made += 1;
-            let new = format!("{}-{}", self.config.token, self.records.made);
+            let new = self.records.new_key(self.config.token, &key);
             self.records.of.extend(members.iter().map(|name| (name.clone(), new.clone())));
             let group = Group { members, need: Need::New, since: now, writing: None, after: Vec::new() };
             self.records.groups.insert(new.clone(), group);
