--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -381,16 +381,24 @@
         found
     }
 
-    /// The zone with most places for a job whose tasks must share one.
+    /// The zone with most places for a job whose tasks must share one. A gang waits for its last image, so that
+    /// among zones that hold all of it the one with most places beside its image comes first.
     fn best_zone(&self, job: &Job, room: &Room) -> Option<String> {
-        let mut places: BTreeMap<&str, i64> = BTreeMap::new();
+        let mut places: BTreeMap<&str, (i64, i64)> = BTreeMap::new();
+        let tasks = i64::from(job.spec.tasks);
         for (name, free) in &room.free {
             if let Some(machine) = self.machines.get(name).filter(|m| place::allowed(job, m)) {
-                *places.entry(&machine.zone).or_default() +=
-                    job.spec.needs.count_in(free).min(i64::from(job.spec.tasks));
+                let count = job.spec.needs.count_in(free).min(tasks);
+                let (all, warm) = places.entry(&machine.zone).or_default();
+                *all += count;
+                *warm += if machine.images.contains(&job.spec.image) { count } else { 0 };
             }
         }
-        places.into_iter().filter(|(_, n)| *n > 0).max_by_key(|(_, n)| *n).map(|(z, _)| z.to_string())
+        let gang = job.spec.kind == Kind::Gang;
+        let weight =
+            |all: i64, warm: i64| (gang && all >= tasks, if gang { warm.min(tasks) } else { 0 }, all);
+        let open = places.into_iter().filter(|(_, (all, _))| *all > 0);
+        open.max_by_key(|(_, (all, warm))| weight(*all, *warm)).map(|(zone, _)| zone.to_string())
     }
 
     /// Stops the newest tasks of lower jobs, lowest first, if together that frees `missing` slots.
--- a/src/core/gang.rs
+++ b/src/core/gang.rs
@@ -40,7 +40,7 @@
         }
     }
 
-    /// A gang of which something is placed and something waits. Returns whether it is left as it is.
+    /// A gang of which something is placed and something waits.
     pub fn mend_gang(&mut self, uid: Uid, room: &mut Room, probes: &mut usize) {
         let Some(job) = self.jobs.get(&uid) else { return };
         match self.stage(job) {
@@ -65,9 +65,17 @@
                 self.stop_all(uid);
                 self.wait(uid, "its gang was not complete in time");
             }
-            // What is left of it would only find out by itself, up to `gang_peer_s` later.
+            // What is left of it would only find out by itself, up to `gang_peer_s` later. Tasks that were told to
+            // save are left to it: the first that has saved keeps the progress of all.
             Stage::Broken => {
-                self.stop_all(uid);
+                let saves = |grace: f64, at: u64| {
+                    grace > 0.0 && self.now < at + limits::micros(grace) + limits::STOP_PATIENCE
+                };
+                let saving =
+                    self.placed(job).any(|(_, _, t)| t.stopping.is_some_and(|(at, grace)| saves(grace, at)));
+                if !saving {
+                    self.stop_all(uid);
+                }
                 self.wait(uid, "its last attempt has not ended everywhere");
             }
             Stage::Nowhere | Stage::Whole => {}
--- /dev/null
+++ b/tests/gangs.rs
@@ -0,0 +1,322 @@
+//! Gangs, stage by stage: what a trouble in each does to the tasks, told by what the workers are told.
+
+mod common;
+
+use common::spec;
+use dockpier::core::model::*;
+use dockpier::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob, StoredMachine};
+use dockpier::limits::SECOND;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Five machines of one place each, and a gang of three on them.
+struct Bed {
+    core: Core,
+    now: u64,
+    seq: u64,
+    token: u64,
+    silent: BTreeSet<usize>,
+    notice: BTreeMap<usize, f64>,
+    on: BTreeMap<usize, BTreeMap<TaskId, (u64, TaskStatus)>>,
+    stops: Vec<(TaskId, f64)>,
+    finished: Vec<Uid>,
+}
+
+const MACHINES: usize = 5;
+const GANG: Uid = Uid(1);
+
+fn name(machine: usize) -> String {
+    format!("m-{machine:06}")
+}
+
+fn types() -> Command {
+    Command::Types(vec![MachineType {
+        name: "m".into(),
+        has: Resources::offered(1.0, 1.0, 1.0),
+        price: 1.0,
+        spot_price: None,
+        boot_s: 60.0,
+        zones: vec!["a".into()],
+    }])
+}
+
+fn gang() -> StoredJob {
+    let spec =
+        JobSpec { checkpoint_s: 20.0, save_s: 3.0, one_zone: true, ..spec(1, Kind::Gang, Priority::High, 3) };
+    StoredJob { spec, entry: 1, age: 0, done: BTreeSet::new() }
+}
+
+impl Bed {
+    fn new() -> Bed {
+        let config = Config { zones: vec!["a".into()], record_machines: 6, ..common::config() };
+        let mut bed = Bed {
+            core: Core::new(config, SECOND),
+            now: SECOND,
+            seq: 0,
+            token: 1,
+            silent: BTreeSet::new(),
+            notice: BTreeMap::new(),
+            on: BTreeMap::new(),
+            stops: Vec::new(),
+            finished: Vec::new(),
+        };
+        bed.step(vec![types(), Command::Load { jobs: vec![], records: vec![] }]);
+        (0..2).for_each(|_| bed.report());
+        bed.step(vec![Command::JobAdded(gang())]);
+        (0..3).for_each(|_| bed.report());
+        bed
+    }
+
+    fn step(&mut self, batch: Vec<Command>) {
+        self.now += SECOND / 10;
+        let mut then = Vec::new();
+        for effect in self.core.step(self.now, batch) {
+            match effect {
+                Effect::Record { key, .. } => then.push(Command::Recorded { key, outcome: Outcome::Done }),
+                Effect::Finish { uid, .. } => {
+                    self.finished.push(uid);
+                    then.push(Command::Finished { uid, outcome: Outcome::Done });
+                }
+                Effect::Answer { reply, orders, .. } if reply > 0 => self.orders(reply as usize - 1, orders),
+                Effect::Direct { machine, orders, .. } => {
+                    let machine = machine.trim_start_matches("m-").parse().unwrap();
+                    if !self.silent.contains(&machine) {
+                        self.orders(machine, orders);
+                    }
+                }
+                _ => {}
+            }
+        }
+        if !then.is_empty() {
+            self.step(then);
+        }
+    }
+
+    fn orders(&mut self, machine: usize, orders: Vec<Order>) {
+        let on = self.on.entry(machine).or_default();
+        for order in orders {
+            match order {
+                Order::Start { id, attempt } => {
+                    on.entry(id).or_insert((attempt, TaskStatus::Fetching));
+                }
+                Order::Stop { id, attempt, grace_s } => {
+                    let lives = |t: &&mut (u64, TaskStatus)| !matches!(t.1, TaskStatus::Exited(_));
+                    if let Some(task) = on.get_mut(&id).filter(|t| t.0 == attempt).filter(lives) {
+                        task.1 = TaskStatus::Exited(Cause::Stopped);
+                        self.stops.push((id, grace_s));
+                    }
+                }
+                Order::Forget { id, .. } => drop(on.remove(&id)),
+            }
+        }
+    }
+
+    fn report(&mut self) {
+        self.seq += 1;
+        for machine in (0..MACHINES).filter(|m| !self.silent.contains(m)).collect::<Vec<_>>() {
+            let on = self.on.entry(machine).or_default();
+            let tasks = on.iter().map(|(id, (attempt, status))| ReportedTask {
+                id: *id,
+                attempt: *attempt,
+                status: *status,
+            });
+            let report = Report {
+                machine: name(machine),
+                address: String::new(),
+                machine_type: "m".into(),
+                zone: "a".into(),
+                spot: false,
+                session: 1,
+                seq: self.seq,
+                token: self.token,
+                notice_s: self.notice.get(&machine).copied(),
+                tasks: tasks.collect(),
+            };
+            self.step(vec![Command::Checkin { reply: machine as u64 + 1, report, via: None }]);
+        }
+    }
+
+    fn reports(&mut self, rounds: usize) {
+        (0..rounds).for_each(|_| self.report());
+    }
+
+    /// Where its living tasks are, under which attempts.
+    fn living(&self) -> Vec<(usize, u32, u64)> {
+        let all = self.on.iter().flat_map(|(m, on)| on.iter().map(move |(id, t)| (*m, *id, *t)));
+        let living = all.filter(|(_, id, t)| id.uid == GANG && !matches!(t.1, TaskStatus::Exited(_)));
+        living.map(|(m, id, t)| (m, id.task, t.0)).collect()
+    }
+
+    fn attempts(&self) -> BTreeSet<u64> {
+        self.living().into_iter().map(|(_, _, attempt)| attempt).collect()
+    }
+
+    fn set(&mut self, status: TaskStatus) {
+        self.on.values_mut().flat_map(|on| on.values_mut()).for_each(|t| t.1 = status);
+    }
+
+    /// The machine is gone, by the cloud's word.
+    fn lose(&mut self, machine: usize) {
+        self.silent.insert(machine);
+        self.on.remove(&machine);
+        self.step(vec![Command::Deleted { machines: vec![name(machine)], outcome: Outcome::Done }]);
+    }
+
+    /// The next leader, which knows what is stored and no more.
+    fn change_leader(&mut self) {
+        self.token += 1;
+        let config = Config { token: self.token, ..self.core.config.clone() };
+        self.core = Core::new(config, self.now);
+        let known = |machine| StoredMachine {
+            name: name(machine),
+            machine_type: "m".into(),
+            zone: "a".into(),
+            spot: false,
+            address: String::new(),
+            images: BTreeSet::new(),
+        };
+        let records = vec![("1-1".into(), (0..MACHINES).map(known).collect())];
+        self.step(vec![types(), Command::Load { jobs: vec![gang()], records }]);
+    }
+}
+
+#[test]
+fn a_gang_starts_whole_under_one_attempt() {
+    let bed = Bed::new();
+    assert_eq!((bed.living().len(), bed.attempts().len()), (3, 1));
+}
+
+/// The others wait: stopped and started anew they would lose what they have fetched and their places.
+#[test]
+fn a_task_lost_before_the_start_is_replaced_under_the_same_attempt() {
+    let mut bed = Bed::new();
+    let before = bed.attempts();
+    let (lost, ..) = bed.living()[0];
+    bed.lose(lost);
+    bed.reports(3);
+    assert_eq!((bed.living().len(), bed.attempts()), (3, before));
+    assert!(bed.stops.is_empty());
+}
+
+#[test]
+fn one_that_finds_no_room_for_a_lost_task_does_not_let_its_places_idle() {
+    let mut bed = Bed::new();
+    // Nothing else is free: one place is lost, and others are taken.
+    let job = StoredJob {
+        spec: spec(2, Kind::Array, Priority::Critical, 2),
+        entry: 2,
+        age: 0,
+        done: BTreeSet::new(),
+    };
+    bed.step(vec![Command::JobAdded(job)]);
+    bed.reports(3);
+    let (lost, ..) = bed.living()[0];
+    bed.lose(lost);
+    bed.reports(3);
+    assert_eq!(bed.living().len(), 2, "it waits for a while");
+    bed.reports(30);
+    assert_eq!(bed.living().len(), 0);
+}
+
+#[test]
+fn a_task_lost_while_it_runs_ends_the_attempt_and_the_next_one_is_whole() {
+    let mut bed = Bed::new();
+    bed.set(TaskStatus::Running);
+    bed.report();
+    let before = bed.attempts();
+    let (lost, ..) = bed.living()[0];
+    bed.lose(lost);
+    bed.reports(4);
+    assert_eq!((bed.living().len(), bed.attempts().len()), (3, 1));
+    assert!(bed.attempts().is_disjoint(&before), "the old attempt can't go on");
+}
+
+/// A machine that hangs may still hold its task: nothing of the next attempt starts beside it.
+#[test]
+fn the_next_attempt_waits_until_each_old_task_is_gone() {
+    let mut bed = Bed::new();
+    bed.set(TaskStatus::Running);
+    bed.report();
+    let (hangs, ..) = bed.living()[0];
+    bed.silent.insert(hangs);
+    // The others notice.
+    for (_, on) in bed.on.iter_mut().filter(|(m, _)| **m != hangs) {
+        on.values_mut().for_each(|t| t.1 = TaskStatus::Exited(Cause::Stopped));
+    }
+    bed.reports(3);
+    assert_eq!(bed.living().len(), 1, "the one that hangs");
+    bed.lose(hangs);
+    bed.reports(3);
+    assert_eq!((bed.living().len(), bed.attempts().len()), (3, 1));
+}
+
+#[test]
+fn one_that_was_not_complete_in_time_starts_again_under_another_attempt() {
+    let mut bed = Bed::new();
+    let before = bed.attempts();
+    let (machine, task, _) = bed.living()[0];
+    let id = TaskId { uid: GANG, task };
+    bed.on.get_mut(&machine).unwrap().get_mut(&id).unwrap().1 = TaskStatus::Exited(Cause::Stopped);
+    bed.reports(4);
+    assert_eq!((bed.living().len(), bed.attempts().len()), (3, 1));
+    assert!(bed.attempts().is_disjoint(&before), "a worker forgets no attempt that gave up");
+}
+
+/// The tasks complete together, so that one report is enough: the machine of another may be lost with its own.
+#[test]
+fn one_task_done_is_the_whole_gang_done() {
+    let mut bed = Bed::new();
+    bed.set(TaskStatus::Running);
+    bed.report();
+    bed.set(TaskStatus::Exited(Cause::Done));
+    let machines: Vec<usize> = bed.living().iter().map(|(m, ..)| *m).collect();
+    assert!(machines.is_empty());
+    let others: Vec<usize> =
+        bed.on.iter().filter(|(_, on)| !on.is_empty()).map(|(m, _)| *m).skip(1).collect();
+    bed.silent.extend(others);
+    bed.reports(2);
+    assert_eq!(bed.finished, [GANG]);
+}
+
+/// Saving works only if all are told within `gang_peer_s`, with the time to save and to wait for one another.
+#[test]
+fn a_notice_stops_all_of_a_gang_at_once_with_time_to_save() {
+    let mut bed = Bed::new();
+    bed.set(TaskStatus::Running);
+    bed.report();
+    let (machine, ..) = bed.living()[0];
+    bed.notice.insert(machine, 12.0);
+    bed.report();
+    assert_eq!(bed.stops.len(), 3, "{:?}", bed.stops);
+    assert!(bed.stops.iter().all(|(_, grace)| *grace >= 3.0 + 6.0), "{:?}", bed.stops);
+}
+
+#[test]
+fn a_new_leader_takes_a_running_gang_as_it_is_and_one_that_waits_too() {
+    for status in [TaskStatus::Running, TaskStatus::Fetching] {
+        let mut bed = Bed::new();
+        bed.set(status);
+        bed.report();
+        let before = bed.living();
+        bed.change_leader();
+        // Partial knowledge is no broken gang.
+        let late = before[0].0;
+        bed.silent.insert(late);
+        bed.reports(2);
+        bed.silent.remove(&late);
+        bed.reports(4);
+        assert_eq!(bed.living(), before, "{status:?}");
+        assert!(bed.stops.is_empty(), "{status:?}: {:?}", bed.stops);
+    }
+}
+
+#[test]
+fn a_withdrawn_gang_is_stopped_in_every_stage() {
+    for status in [TaskStatus::Running, TaskStatus::Fetching] {
+        let mut bed = Bed::new();
+        bed.set(status);
+        bed.step(vec![Command::JobRemoved(GANG)]);
+        bed.reports(3);
+        assert_eq!(bed.living().len(), 0, "{status:?}");
+        assert!(!bed.core.jobs.contains_key(&GANG));
+    }
+}
--- /dev/null
+++ b/tests/side_by_side.rs
@@ -0,0 +1,138 @@
+//! The version in production and this one beside each other: frames and records that production made
+//! (`tests/golden`, written by its own code) are read here, and what is sent here is laid out as production
+//! reads it.
+
+use dockpier::core::model::*;
+use dockpier::core::Order;
+use dockpier::knowledge::Attestation;
+use dockpier::leadership::{Message, Status};
+use dockpier::peer::{decode, encode, Payload, Sender};
+use dockpier::wire::{Epoch, FleetRecord, LiveRecord, Over};
+use std::collections::BTreeMap;
+
+const GOLDEN: &str = include_str!("golden/frames-3f677f9.txt");
+const SENDER: Sender = Sender { node: 2, incarnation: 77 };
+/// Of a head: the bytes that production leaves 0 and ignores, and its kind.
+const ABILITIES: std::ops::Range<usize> = 10..12;
+const KIND: usize = 8;
+const HEAD: usize = 64;
+
+fn golden() -> BTreeMap<&'static str, Vec<u8>> {
+    let byte = |at: usize, hex: &str| u8::from_str_radix(&hex[2 * at..2 * at + 2], 16).unwrap();
+    let frame = |line: &'static str| {
+        let (name, hex) = line.split_once(' ').unwrap();
+        (name, (0..hex.len() / 2).map(|at| byte(at, hex)).collect())
+    };
+    GOLDEN.lines().map(frame).collect()
+}
+
+/// What production was asked to write.
+fn payloads(attests: bool) -> Vec<(&'static str, Payload)> {
+    let status = Status { state_age: 5_000, workers: 9, machines: 0, attests };
+    let id = TaskId { uid: Uid(412), task: 3 };
+    let statuses = [
+        TaskStatus::Fetching,
+        TaskStatus::Running,
+        TaskStatus::Saving,
+        TaskStatus::Exited(Cause::Done),
+        TaskStatus::Exited(Cause::Stopped),
+        TaskStatus::Exited(Cause::Error),
+        TaskStatus::Exited(Cause::NoRoom),
+        TaskStatus::Exited(Cause::Busy),
+        TaskStatus::Exited(Cause::Unknown),
+    ];
+    let report = Report {
+        machine: "m-000231".into(),
+        address: "10.1.0.232:9000".into(),
+        machine_type: "g8".into(),
+        zone: "a".into(),
+        spot: true,
+        session: 2,
+        seq: 88,
+        token: 41,
+        notice_s: Some(12.5),
+        tasks: statuses.into_iter().map(|status| ReportedTask { id, attempt: 5, status }).collect(),
+    };
+    let orders = vec![
+        Order::Start { id, attempt: 6 },
+        Order::Stop { id, attempt: 5, grace_s: 4.5 },
+        Order::Forget { id, attempt: 4 },
+    ];
+    let machines = vec!["m-1".to_string(), "m-22".to_string()];
+    let leadership = |message| Payload::Leadership(status, message);
+    vec![
+        ("heartbeat", leadership(Message::Heartbeat { token: 4, sent: 11 })),
+        ("grant", leadership(Message::Grant { token: 4, echo: 11 })),
+        ("promise-request", leadership(Message::PromiseRequest { sent: 3 })),
+        ("promise", leadership(Message::Promise { echo: 3 })),
+        ("release", leadership(Message::Release { token: 4, successor: 1 })),
+        ("summary", Payload::Summary(vec![(412, 3, 1), (413, 0, 0)])),
+        ("report", Payload::Report { id: 9, stamp: 11, report }),
+        ("reply", Payload::Reply { id: 9, token: Some(41), keep: true, orders }),
+        ("wake", Payload::Wake(machines.clone())),
+        ("heard", Payload::Heard { id: 3, stamp: 4, whole: true, fresh: false, machines }),
+        ("confirmed", Payload::Confirmed { id: 3, lease_ms: 20_000 }),
+    ]
+}
+
+#[test]
+fn what_production_sends_is_read_as_it_was_meant() {
+    let golden = golden();
+    assert_eq!(golden.len(), payloads(false).len());
+    for (name, payload) in payloads(false) {
+        let (node, incarnation, sequence, read) = decode(&golden[name]).unwrap();
+        assert_eq!((node, incarnation, sequence), (2, 77, 6), "{name}");
+        assert_eq!(format!("{read:?}"), format!("{payload:?}"), "{name}");
+    }
+}
+
+/// Byte for byte what production writes, but for the bits that it ignores.
+#[test]
+fn what_is_sent_to_production_has_its_layout() {
+    let golden = golden();
+    for (name, payload) in payloads(true) {
+        let mut bytes = encode(SENDER, 6, &payload);
+        let leads = bytes[KIND] <= 5;
+        assert_eq!(&bytes[ABILITIES], [u8::from(leads), 0], "{name}");
+        bytes[ABILITIES].fill(0);
+        assert_eq!(bytes, golden[name], "{name}");
+    }
+}
+
+/// Production drops a connection at a kind that it does not know: a kind of its own, for those that have shown
+/// that they take it.
+#[test]
+fn attestations_survive_the_trip_and_have_a_kind_that_production_has_not() {
+    let attestation =
+        Attestation { to: 7, echo: 11, age: 13, quiet: true, held: 3, last: 5, withdrawn: vec![412, 9] };
+    let bytes = encode(SENDER, 6, &Payload::Attestation(attestation.clone()));
+    assert!(golden().values().all(|frame| frame[KIND] < bytes[KIND]));
+    assert!(matches!(decode(&bytes).unwrap().3, Payload::Attestation(read) if read == attestation));
+    for cut in HEAD..bytes.len() {
+        let mut part = bytes[..cut].to_vec();
+        part[4..8].copy_from_slice(&((cut - HEAD) as u32).to_le_bytes());
+        let fewer = |p: &Payload| matches!(p, Payload::Attestation(a) if a.withdrawn.len() < 2);
+        assert!(decode(&part).is_err() || decode(&part).is_ok_and(|f| fewer(&f.3)), "cut at {cut}");
+    }
+}
+
+/// Records as production stored them are read, and written again as they were.
+#[test]
+fn records_of_production_are_read_and_kept() {
+    fn same<T: serde::Serialize + serde::de::DeserializeOwned>(record: &str) {
+        let read: T = serde_json::from_str(record).unwrap();
+        let stored: serde_json::Value = serde_json::from_str(record).unwrap();
+        assert_eq!(serde_json::to_value(&read).unwrap(), stored);
+    }
+    same::<LiveRecord>(
+        r#"{"accepted_ms":1764645000000,"apart":false,"cargo":"train","cores":2.0,"crew":"vision","driftwood":false,
+        "gpus":0.0,"loads":3,"logbook_s":20.0,"manifest":"img-07","memory_gb":6.4,"passage_s":30.0,
+        "precedence":"high","pull_gb":1.0,"rig":"gang","same_place":true,"stow_s":3.0,"uid":"job-000412"}"#,
+    );
+    same::<Vec<FleetRecord>>(
+        r#"[{"vessel":"m-000231","hull":"g8","quay":"a","driftwood":true,"address":"10.1.0.232:9000",
+        "images":["img-07"]}]"#,
+    );
+    same::<Epoch>(r#"{"token":41,"node":"berth-2","incarnation":77}"#);
+    same::<Over>(r#"{"status":"aborted","tasks":3}"#);
+}
