--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -381,24 +381,35 @@
         found
     }
 
-    /// The zone with most places for a job whose tasks must share one. A gang waits for its last image, so that
-    /// among zones that hold all of it the one with most places beside its image comes first.
+    /// The zone with most places for a job whose tasks must share one; for a gang the one where the last of its
+    /// tasks starts first.
     fn best_zone(&self, job: &Job, room: &Room) -> Option<String> {
-        let mut places: BTreeMap<&str, (i64, i64)> = BTreeMap::new();
+        let mut zones: BTreeMap<&str, Vec<(i64, i64, i64)>> = BTreeMap::new();
         let tasks = i64::from(job.spec.tasks);
+        let gang = job.spec.kind == Kind::Gang;
         for (name, free) in &room.free {
             if let Some(machine) = self.machines.get(name).filter(|m| place::allowed(job, m)) {
-                let count = job.spec.needs.count_in(free).min(tasks);
-                let (all, warm) = places.entry(&machine.zone).or_default();
-                *all += count;
-                *warm += if machine.images.contains(&job.spec.image) { count } else { 0 };
+                let places = job.spec.needs.count_in(free).min(tasks);
+                if places > 0 {
+                    let due = if gang { self.report_due_s(machine) } else { 0 };
+                    let cold = if gang { machine.fetches(&job.spec.image) } else { 0 };
+                    zones.entry(&machine.zone).or_default().push((cold, due, places));
+                }
             }
         }
-        let gang = job.spec.kind == Kind::Gang;
-        let weight =
-            |all: i64, warm: i64| (gang && all >= tasks, if gang { warm.min(tasks) } else { 0 }, all);
-        let open = places.into_iter().filter(|(_, (all, _))| *all > 0);
-        open.max_by_key(|(_, (all, warm))| weight(*all, *warm)).map(|(zone, _)| zone.to_string())
+        let weigh = |places: &mut Vec<(i64, i64, i64)>| {
+            places.sort_unstable();
+            let all: i64 = places.iter().map(|(.., n)| n).sum();
+            let mut left = tasks;
+            let last = places.iter().find(|(.., n)| {
+                left -= n;
+                left <= 0
+            });
+            let (cold, due) = last.map_or((i64::MAX, i64::MAX), |(cold, due, _)| (*cold, *due));
+            (gang.then_some((std::cmp::Reverse(cold), std::cmp::Reverse(due))), all)
+        };
+        let weighed = zones.into_iter().map(|(zone, mut places)| (weigh(&mut places), zone));
+        weighed.max().map(|(_, zone)| zone.to_string())
     }
 
     /// Stops the newest tasks of lower jobs, lowest first, if together that frees `missing` slots.
--- a/src/server.rs
+++ b/src/server.rs
@@ -12,11 +12,13 @@
 use crate::peer::{self, Payload, Received, Sender};
 use crate::settings::{Operator, Settings};
 use crate::store::{self, Committed, Store};
-use crate::wire::{Checkin, CheckinAnswer, Epoch, FleetRecord, LiveRecord, Orders, Over, Record, Rental};
+use crate::wire::{
+    Change, Checkin, CheckinAnswer, Compare, Epoch, FleetRecord, LiveRecord, Orders, Over, Record, Rental,
+};
 use crate::worker;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -191,6 +193,7 @@
         outgoing,
         core: None,
         entry: 0,
+        versions: Versions::default(),
         replies: BTreeMap::new(),
         next_reply: 0,
         block: Block::new(room.block),
@@ -274,6 +277,47 @@
     Delete(Vec<String>),
 }
 
+/// The versions at which this leader last knew its records. A transaction without an answer may be carried out
+/// seconds later, after newer ones: without a condition on the record itself, the late one would bring back what
+/// it said then, and the next leader would not know of machines that hold tasks, or of finished tasks.
+#[derive(Clone, Default)]
+struct Versions(Arc<Mutex<HashMap<String, u64>>>);
+
+impl Versions {
+    fn of(&self, key: &str) -> u64 {
+        self.0.lock().map_or(0, |known| known.get(key).copied().unwrap_or(0))
+    }
+
+    fn note(&self, key: &str, entry: u64) {
+        if let Ok(mut known) = self.0.lock() {
+            known.insert(key.to_string(), entry);
+        }
+    }
+
+    /// Commits changes of this leader's own records, each at the version that is known. After a conflict the
+    /// versions are read anew: one that was given up may have come after all.
+    async fn commit(&self, store: &Store, mut when: Vec<Compare>, then: Vec<Change>) -> Committed {
+        let keys: Vec<(String, bool)> =
+            then.iter().map(|change| (change.key().to_string(), change.writes())).collect();
+        when.extend(keys.iter().map(|(key, _)| store::compare(key, self.of(key))));
+        let committed = store.commit(when, then).await;
+        match committed {
+            Committed::Done { entry } => {
+                keys.iter().for_each(|(key, writes)| self.note(key, if *writes { entry } else { 0 }));
+            }
+            Committed::Conflict => {
+                for (key, _) in &keys {
+                    if let Ok(found) = store.get(key, limits::STATE_TIMEOUT).await {
+                        self.note(key, found.map_or(0, |(_, entry)| entry));
+                    }
+                }
+            }
+            Committed::Refused | Committed::Unknown => {}
+        }
+        committed
+    }
+}
+
 /// The one owner of this process's state.
 struct Hub {
     config: Config,
@@ -291,6 +335,7 @@
     core: Option<Core>,
     /// Version of the epoch that every transaction of this leader rests on.
     entry: u64,
+    versions: Versions,
     replies: BTreeMap<u64, ReplyTo>,
     next_reply: u64,
     /// The workers that report here while another node leads.
@@ -711,6 +756,7 @@
         let now = self.clock.now();
         self.config.token = token;
         self.entry = entry;
+        self.versions = Versions::default();
         let mut core = Core::new(self.config.clone(), now);
         let types = Command::Types(self.types.values().cloned().collect());
         let effects = core.step(now, vec![types]);
@@ -724,7 +770,13 @@
         let rps = self.settings.deployment.cloud.rps;
         let lag = self.settings.deployment.cloud.list_lag_s;
         self.leading = vec![
-            tokio::spawn(follow_jobs(self.store.clone(), events.clone(), token, entry)),
+            tokio::spawn(follow_jobs(
+                self.store.clone(),
+                events.clone(),
+                token,
+                entry,
+                self.versions.clone(),
+            )),
             tokio::spawn(drive_cloud(self.cloud.clone(), events.clone(), queue, token, rps, self.gate())),
             tokio::spawn(list_machines(self.cloud.clone(), events, token, lag)),
         ];
@@ -791,10 +843,11 @@
             }
             Effect::CommitDone { uid, entry, tasks, all_done } => {
                 let most = self.settings.deployment.state.txn_ops;
+                let versions = self.versions.clone();
                 self.ask(async move {
                     let (tasks, changes) = done_changes(uid, tasks, &all_done, most);
                     let when = vec![leads, store::compare(&store::live(uid), entry)];
-                    let outcome = settle(store.commit(when, changes).await).await;
+                    let outcome = settle(versions.commit(&store, when, changes).await).await;
                     Command::Committed { uid, tasks, outcome }
                 });
             }
@@ -818,17 +871,20 @@
                     Command::Finished { uid, outcome }
                 })
             }
-            Effect::Record { key, machines } => self.ask(async move {
-                let path = format!("{}{key}", store::FLEET);
-                let records: Vec<FleetRecord> = machines.into_iter().map(FleetRecord::from).collect();
-                let change = if records.is_empty() {
-                    vec![store::remove(&path)]
-                } else {
-                    store::write(&path, records).into_iter().collect()
-                };
-                let outcome = settle(store.commit(vec![leads], change).await).await;
-                Command::Recorded { key, outcome }
-            }),
+            Effect::Record { key, machines } => {
+                let versions = self.versions.clone();
+                self.ask(async move {
+                    let path = format!("{}{key}", store::FLEET);
+                    let records: Vec<FleetRecord> = machines.into_iter().map(FleetRecord::from).collect();
+                    let change = if records.is_empty() {
+                        vec![store::remove(&path)]
+                    } else {
+                        store::write(&path, records).into_iter().collect()
+                    };
+                    let outcome = settle(versions.commit(&store, vec![leads], change).await).await;
+                    Command::Recorded { key, outcome }
+                })
+            }
             Effect::Rent { request, machine_type, zone, spot, count } => {
                 self.cloud_request(CloudRequest::Rent { request, machine_type, zone, spot, count })
             }
@@ -897,7 +953,7 @@
     tasks: BTreeSet<u32>,
     all_done: &BTreeSet<u32>,
     most: usize,
-) -> (BTreeSet<u32>, Vec<crate::wire::Change>) {
+) -> (BTreeSet<u32>, Vec<Change>) {
     let chunks: BTreeSet<u32> = tasks.iter().map(|t| t / limits::DONE_CHUNK).collect();
     let chunks: BTreeSet<u32> = chunks.into_iter().take(most).collect();
     let covered = tasks.into_iter().filter(|t| chunks.contains(&(t / limits::DONE_CHUNK))).collect();
@@ -959,10 +1015,11 @@
     revision: u64,
 }
 
-async fn load(store: &Store) -> Result<Loaded, store::StoreError> {
+async fn load(store: &Store, versions: &Versions) -> Result<Loaded, store::StoreError> {
     let (live, revision) = store.list(store::LIVE).await?;
     let (done, _) = store.list(store::DONE).await?;
     let (fleet, _) = store.list(store::FLEET).await?;
+    done.iter().chain(&fleet).for_each(|record| versions.note(&record.path, record.entry));
     let mut jobs: HashMap<Uid, StoredJob> =
         live.iter().filter_map(stored_job).map(|job| (job.spec.uid, job)).collect();
     let mut orphans = Vec::new();
@@ -1005,11 +1062,11 @@
 }
 
 /// Loads the jobs and follows what users commit through any node.
-async fn follow_jobs(store: Store, events: mpsc::Sender<Event>, token: u64, entry: u64) {
+async fn follow_jobs(store: Store, events: mpsc::Sender<Event>, token: u64, entry: u64, versions: Versions) {
     let send = |command| events.send(Event::Core(token, command));
     let mut known: BTreeSet<Uid> = BTreeSet::new();
     let mut from = loop {
-        match load(&store).await {
+        match load(&store, &versions).await {
             Ok(Loaded { jobs, records, orphans, revision }) => {
                 known.extend(jobs.iter().map(|j| j.spec.uid));
                 let _ = send(Command::Load { jobs, records }).await;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -315,6 +315,18 @@
     },
 }
 
+impl Change {
+    pub fn key(&self) -> &str {
+        match self {
+            Change::Write { write: key, .. } | Change::Remove { remove: key } => key,
+        }
+    }
+
+    pub fn writes(&self) -> bool {
+        matches!(self, Change::Write { .. })
+    }
+}
+
 #[derive(Debug, Serialize)]
 pub struct Transaction {
     pub when: Vec<Compare>,
--- a/tests/core_rules.rs
+++ b/tests/core_rules.rs
@@ -91,6 +91,8 @@
     cut_until: u64,
     /// Until then its reports arrive, but nothing reaches it.
     deaf_until: u64,
+    /// Until then its reports reach nobody, while direct commands reach it.
+    mute_until: u64,
     /// Until then it does not reach the leader.
     leader_cut_until: u64,
     /// The holder that it reports to; None: the leader.
@@ -262,7 +264,7 @@
             }
             let ready = |(name, id): &(String, TaskId)| self.workers[name].tasks[id].ends;
             if whole && members.iter().all(|m| now >= ready(m)) {
-                let ends = now + self.rng.random_range(2..10) * SECOND;
+                let ends = now + self.rng.random_range(5..30) * SECOND;
                 self.gangs.insert(key, GangRun { ends, missing: None });
             } else {
                 let tired = members.iter().filter(|m| now >= ready(m) + GANG_WAIT);
@@ -300,7 +302,7 @@
                     worker.next_report = now;
                 }
             }
-            if now < worker.next_report {
+            if now < worker.next_report || now < worker.mute_until {
                 continue;
             }
             worker.next_report = now + jitter;
@@ -477,6 +479,7 @@
                         dead: false,
                         cut_until: 0,
                         deaf_until: 0,
+                        mute_until: 0,
                         leader_cut_until: 0,
                         via: [None, Some(0), Some(1)][self.machines_made as usize % 3],
                         session: 1,
@@ -595,10 +598,10 @@
     fn trouble(&mut self) {
         let names: Vec<String> = self.workers.keys().cloned().collect();
         let pick = (!names.is_empty()).then(|| names[self.rng.random_range(0..names.len())].clone());
-        let kind = self.rng.random_range(0..12);
+        let kind = self.rng.random_range(0..13);
         let cut = self.now + self.rng.random_range(1..25) * SECOND;
         // A zone is cut off, or a third of all machines hang, perhaps past their leases, or the leader changes in it.
-        if kind >= 9 {
+        if (9..12).contains(&kind) {
             for (i, worker) in
                 self.workers.values_mut().filter(|w| !w.dead && w.up_at <= self.now).enumerate()
             {
@@ -618,6 +621,7 @@
             0 => worker.dead = true,
             1 => worker.cut_until = cut,
             2 => worker.deaf_until = cut,
+            12 => worker.mute_until = cut,
             3 => self.change_leader(),
             // A holder and its workers part from the leader, mostly while the cloud is down, so that only
             // the end of leases proves anything.
