--- a/src/leadership_tests.rs
+++ b/src/leadership_tests.rs
@@ -1051,3 +1051,25 @@
         assert_eq!(world.leader(), None, "seed {seed}");
     }
 }
+
+/// A node resumes its own epoch without promises. What it granted a caretaker a moment ago still binds it: with
+/// its own word and one grant it took itself for backed by a majority, and worker leases for over.
+#[test]
+fn a_resumed_leader_does_not_count_its_own_word_while_its_grant_to_another_runs() {
+    let names = ["a", "b", "c"].map(String::from).to_vec();
+    let begun = 1 << 45;
+    let mut node = Leadership::new(names, 0, 2, begun, (ALONE, KEPT), 0);
+    let now = begun + 2 * limits::GRANT;
+    let granted = node.message(now, 1, 7, Status::default(), Message::Heartbeat { token: 5, sent: 9 });
+    assert!(granted.contains(&Action::Send(1, Message::Grant { token: 5, echo: 9 })));
+    let epoch = Epoch { token: 5, node: "a".into(), incarnation: 1 };
+    let probed = StoreAnswer::Probed { epoch: Some((epoch, 3)), locked: true };
+    assert!(matches!(node.store(now, probed)[..], [Action::TakeOver { token: 6, over_lock: true, .. }]));
+    node.store(now, StoreAnswer::Won { permit: 1, entry: 4, lease_sent: now });
+    node.message(now + 1, 2, 8, Status::default(), Message::Grant { token: 6, echo: now });
+    let soon = now + limits::SECOND;
+    assert_eq!(node.alone_until(soon), soon, "a caretaker may keep workers alive beside it");
+    let later = now + lengthened(limits::GRANT) + 1;
+    node.message(later, 2, 8, Status::default(), Message::Grant { token: 6, echo: later });
+    assert!(node.alone_until(later + 1) <= later, "its word counts again");
+}
--- a/tests/core_rules.rs
+++ b/tests/core_rules.rs
@@ -192,9 +192,9 @@
     }
 
     /// The leader is gone; the next one knows what the state service holds, and no more.
-    fn change_leader(&mut self) {
+    fn change_leader(&mut self, away: u64) {
         self.token += 1;
-        self.now += 4 * SECOND;
+        self.now += away;
         self.core = Core::new(config(self.token, self.gpus_max), self.now);
         self.later.clear();
         self.replies.clear();
@@ -598,7 +598,7 @@
     fn trouble(&mut self) {
         let names: Vec<String> = self.workers.keys().cloned().collect();
         let pick = (!names.is_empty()).then(|| names[self.rng.random_range(0..names.len())].clone());
-        let kind = self.rng.random_range(0..13);
+        let kind = self.rng.random_range(0..14);
         let cut = self.now + self.rng.random_range(1..25) * SECOND;
         // A zone is cut off, or a third of all machines hang, perhaps past their leases, or the leader changes in it.
         if (9..12).contains(&kind) {
@@ -612,7 +612,7 @@
                 }
             }
             if kind == 10 {
-                self.change_leader();
+                self.change_leader(4 * SECOND);
             }
             return;
         }
@@ -622,7 +622,9 @@
             1 => worker.cut_until = cut,
             2 => worker.deaf_until = cut,
             12 => worker.mute_until = cut,
-            3 => self.change_leader(),
+            // All controllers are away for longer than a worker lease.
+            13 => self.change_leader(limits::micros(LEASE_S) + 5 * SECOND),
+            3 => self.change_leader(4 * SECOND),
             // A holder and its workers part from the leader, mostly while the cloud is down, so that only
             // the end of leases proves anything.
             5 | 7 | 8 => {
@@ -636,7 +638,7 @@
                 }
                 // The holder does not hear that another leads.
                 if kind == 8 {
-                    self.change_leader();
+                    self.change_leader(4 * SECOND);
                 }
             }
             // A holder that ends has forgotten its block.
