--- a/src/live.rs
+++ b/src/live.rs
@@ -10,6 +10,7 @@
 use crate::store::{self, Store, StoreError};
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
 type Question = (Uid, oneshot::Sender<Result<bool, Arc<StoreError>>>);
@@ -52,8 +53,10 @@
     let mut copy = None;
     // What was read and not passed on yet: a reading may fail half way.
     let mut reading = Reading::default();
+    // A process that has just started may keep nobody alive before it has read them: at once, and soon again.
+    let mut rest = Duration::ZERO;
     loop {
-        let first = match tokio::time::timeout(limits::LIVE_EVERY, questions.recv()).await {
+        let first = match tokio::time::timeout(rest, questions.recv()).await {
             Ok(Some(first)) => Some(first),
             Ok(None) => return,
             Err(_) => None,
@@ -63,6 +66,10 @@
             waiting.push(more);
         }
         let fresh = refresh(&store, &mut copy, &mut reading).await.map_err(Arc::new);
+        rest = match &fresh {
+            Ok(()) => limits::LIVE_EVERY,
+            Err(_) => Duration::from_millis(limits::STATE_PAUSE_MS),
+        };
         if fresh.is_ok() && events.send(Event::Live(std::mem::take(&mut reading))).await.is_err() {
             return;
         }
