--- a/tests/elastic_model.rs
+++ b/tests/elastic_model.rs
@@ -262,6 +262,39 @@
     assert_eq!((places, bed.core.jobs[&Uid(1)].waiting.len()), (1, 1));
 }
 
+/// A record that an earlier version made may be larger than the state service takes from now on: written again as
+/// it is it would be refused for ever. No machine may be missing from all records meanwhile.
+#[test]
+fn a_record_that_is_too_large_is_split_and_the_new_ones_are_written_first() {
+    let config = Config { token: 2, zones: vec!["a".into()], ..common::config() };
+    let most = config.record_machines;
+    let mut core = Core::new(config, SECOND);
+    let known = |i: usize| StoredMachine {
+        name: format!("m-{i:06}"),
+        machine_type: "m".into(),
+        zone: "a".into(),
+        spot: false,
+        address: String::new(),
+        images: BTreeSet::new(),
+    };
+    let old = (0..3 * most).map(known).collect::<Vec<_>>();
+    let mut stored: BTreeMap<String, Vec<StoredMachine>> = [("1-1".to_string(), old)].into();
+    let records = vec![("1-1".into(), stored["1-1"].clone())];
+    let mut then = vec![Command::Types(types()), Command::Load { jobs: vec![], records }];
+    for step in 1..100 {
+        let effects = core.step(SECOND + step * 100_000, std::mem::take(&mut then));
+        for effect in effects {
+            let Effect::Record { key, machines } = effect else { continue };
+            assert!(machines.len() <= most, "{key}: {} machines", machines.len());
+            stored.insert(key.clone(), machines);
+            let all: BTreeSet<&String> = stored.values().flatten().map(|m| &m.name).collect();
+            assert_eq!(all.len(), 3 * most, "a machine is in no record");
+            then.push(Command::Recorded { key, outcome: Outcome::Done });
+        }
+    }
+    assert!(stored.values().all(|machines| machines.len() <= most), "the old record was left as it was");
+}
+
 #[test]
 fn a_machine_that_does_not_come_to_a_new_leader_is_deleted_before_its_lease_ends() {
     let mut bed = Bed::new(3, 0.0);
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -186,6 +186,16 @@
             let (_, body) = user.ask(node, "GET", "/submissions/job-000900", String::new()).await.unwrap();
             assert_eq!(body["status"], "aborted", "node {node} tells an older state");
         }
+        // Repeated, and withdrawn after its end, a job tells its state on every node.
+        for node in 0..3 {
+            for (path, body) in [
+                ("/submissions", submission("job-000001", "sweep", 3).to_string()),
+                ("/submissions/job-000001/withdraw", String::new()),
+            ] {
+                let (status, body) = user.ask(node, "POST", path, body).await.unwrap();
+                assert_eq!((status, &body["status"]), (200, &json!("done")), "{path} on {node}");
+            }
+        }
     });
 }
 
@@ -208,6 +218,11 @@
             body.as_object_mut().unwrap().remove(field);
             body.to_string()
         };
+        let gang = |loads: u32| {
+            let mut body = submission("job-000077", "gang", loads);
+            body["gpus"] = json!(1.0);
+            body.to_string()
+        };
         let cases = [
             ("{".to_string(), 400, ""),
             ("[1]".to_string(), 400, ""),
@@ -227,6 +242,9 @@
             (with("hulls", json!(["m5"])), 422, "machine type"),
             (with("quay", json!("z")), 422, "machine type"),
             (with("gpus", json!(5.0)), 422, "limit"),
+            // All of a gang must fit its team's limit, and one task of an array.
+            (gang(5), 422, "limit"),
+            (gang(0), 400, "loads"),
         ];
         for (body, status, says) in cases {
             let (got, answer) = user.insist("POST", "/submissions", &body).await;
@@ -235,6 +253,11 @@
             assert!(error.contains(says) && !error.contains('\n'), "{says}: {error}");
         }
         assert!(!state.lock().unwrap().keys.contains_key("live/job-000077"));
+        // A repeated submission of a job that is not over gets its state.
+        for node in 0..3 {
+            let (status, body) = user.ask(node, "POST", "/submissions", good.to_string()).await.unwrap();
+            assert_eq!((status, &body["status"]), (200, &json!("pending")), "on {node}");
+        }
         for (method, path, status) in [
             ("GET", "/submissions/job-000077", 404),
             ("GET", "/submissions/nonsense", 404),
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,41 @@
+//! The limits that the state service will have.
+
+use dockpier::settings::Settings;
+use std::path::Path;
+
+const SETTINGS: &str = r#"{"node_name":"a","site":"z","public_addr":"127.0.0.1:1","peer_bind":"127.0.0.1:2",
+    "external":{"cloud":"127.0.0.1:3","state":"127.0.0.1:4"},"deployment":{"zones":["z"],"teams":[{"name":"t"}],
+    "workers":{"report_s":1.0,"lease_s":10.0,"cancel_s":40.0},
+    "state":{"rps":150,"write_rps":40,"value_kb":8,"txn_ops":12NEXT},"cloud":{"rps":2,"list_lag_s":8}}}"#;
+
+fn with_next(next: &str) -> Result<Settings, String> {
+    let next = if next.is_empty() { String::new() } else { format!(",\"next\":{next}") };
+    Settings::parse(&SETTINGS.replace("NEXT", &next), Path::new("s.json")).map_err(|e| e.to_string())
+}
+
+/// The change comes without notice: what was written up to the larger limit could not be written again.
+#[test]
+fn the_smaller_of_now_and_next_counts_and_what_is_not_named_stays() {
+    let limits = |next: &str| {
+        let state = with_next(next).unwrap().deployment.state;
+        (state.value_kb, state.txn_ops, state.rps, state.write_rps)
+    };
+    assert_eq!(limits(""), (8.0, 12, 150.0, 40.0));
+    assert_eq!(limits(r#"{"value_kb":2.0,"txn_ops":4,"rps":900}"#), (2.0, 4, 150.0, 40.0));
+    assert_eq!(limits(r#"{"write_rps":28.0,"unknown":1}"#), (8.0, 12, 150.0, 28.0));
+}
+
+#[test]
+fn nonsense_in_the_next_limits_names_the_field() {
+    for (nonsense, says) in [
+        (r#"{"value_kb":0}"#, "deployment.state.next.value_kb"),
+        (r#"{"txn_ops":"x"}"#, "deployment.state.next.txn_ops"),
+        (r#"{"txn_ops":2}"#, "deployment.state.next.txn_ops"),
+        (r#"{"write_rps":-1}"#, "deployment.state.next.write_rps"),
+        (r#"{"rps":0}"#, "deployment.state.next.rps"),
+        ("7", "deployment.state.next"),
+    ] {
+        let error = with_next(nonsense).unwrap_err();
+        assert!(error.contains(says), "{says}: {error}");
+    }
+}
