--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -55,7 +55,8 @@
 
 /// A machine that has room for a task, as `find` weighs it.
 struct Candidate<'a> {
-    /// Kind, coldness, surplus (see `place::cost`), and for gangs the wait for its report: the same for every further task put there.
+    /// Kind, coldness, surplus (see `place::cost`), and for gangs the wait for its report: the same for every
+    /// further task put there.
     base: [i64; 3],
     emptiness: i64,
     machine: &'a Machine,
@@ -277,9 +278,6 @@
                 }
             }
             let attempt = self.next_attempt();
-            if let Some(job) = self.jobs.get_mut(&uid) {
-                job.short_since = None;
-            }
             for machine in found {
                 self.assign(uid, &machine, attempt, room);
             }
--- a/src/core/gang.rs
+++ b/src/core/gang.rs
@@ -53,6 +53,10 @@
                     for machine in found {
                         self.assign(uid, &machine, attempt, room);
                     }
+                    // The next task that it loses has its own time.
+                    if let Some(job) = self.jobs.get_mut(&uid) {
+                        job.short_since = None;
+                    }
                     return;
                 }
                 // Its places must not idle until the workers give up by themselves.
@@ -62,6 +66,7 @@
                 if now < since + patience {
                     return self.wait(uid, "no free slot for the rest of its gang");
                 }
+                job.short_since = None;
                 self.stop_all(uid);
                 self.wait(uid, "its gang was not complete in time");
             }
