--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -199,6 +199,53 @@
     });
 }
 
+/// The last task's end, a withdrawal, a question and a repeated submission meet, at different distances from the
+/// end: `live` to `over` is one transaction, whoever loses it tells what won, and nobody tells another end later.
+#[test]
+fn an_end_and_a_withdrawal_that_meet_have_one_outcome_on_every_node() {
+    on_runtime(async {
+        let (_state, state_at) = standins::state_service().await;
+        let (cloud, cloud_at) = standins::cloud().await;
+        let (_nodes, public) = start_nodes("meet", state_at, cloud_at).await;
+        tokio::spawn(standins::workers(cloud, public.clone()));
+        let user = User::new(public);
+        let first = submission("job-000001", "sweep", 1).to_string();
+        assert_eq!(user.insist("POST", "/submissions", &first).await.0, 201);
+        user.wait_for("job-000001", "done").await;
+        for round in 0..12u64 {
+            let uid = format!("job-{:06}", 100 + round);
+            let body = submission(&uid, "sweep", 1).to_string();
+            assert_eq!(user.insist("POST", "/submissions", &body).await.0, 201);
+            tokio::time::sleep(Duration::from_millis(150 * round)).await;
+            let (withdraw, poll) = (format!("/submissions/{uid}/withdraw"), format!("/submissions/{uid}"));
+            let (ended, asked, repeated) = tokio::join!(
+                user.insist("POST", &withdraw, ""),
+                user.insist("GET", &poll, ""),
+                user.insist("POST", "/submissions", &body),
+            );
+            let end = ended.1["status"].clone();
+            assert!(ended.0 == 200 && (end == "done" || end == "aborted"), "{uid}: {ended:?}");
+            for (status, answer) in [asked, repeated] {
+                let told = &answer["status"];
+                assert!(
+                    status == 200 && (told == "pending" || told == "running" || *told == end),
+                    "{uid}: {told}"
+                );
+            }
+            for node in 0..3 {
+                for (method, path, body) in [
+                    ("GET", &poll, ""),
+                    ("POST", &withdraw, ""),
+                    ("POST", &"/submissions".to_string(), &body),
+                ] {
+                    let answer = user.ask(node, method, path, body.to_string()).await.unwrap();
+                    assert_eq!((answer.0, &answer.1["status"]), (200, &end), "{method} {path} on {node}");
+                }
+            }
+        }
+    });
+}
+
 #[test]
 fn bad_input_is_answered_at_once_and_stores_nothing() {
     on_runtime(async {
