--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -204,7 +204,7 @@
 #[test]
 fn an_end_and_a_withdrawal_that_meet_have_one_outcome_on_every_node() {
     on_runtime(async {
-        let (_state, state_at) = standins::state_service().await;
+        let (state, state_at) = standins::state_service().await;
         let (cloud, cloud_at) = standins::cloud().await;
         let (_nodes, public) = start_nodes("meet", state_at, cloud_at).await;
         tokio::spawn(standins::workers(cloud, public.clone()));
@@ -212,6 +212,8 @@
         let first = submission("job-000001", "sweep", 1).to_string();
         assert_eq!(user.insist("POST", "/submissions", &first).await.0, 201);
         user.wait_for("job-000001", "done").await;
+        // Between the reading and the transaction of a withdrawal there is time for the end.
+        state.lock().unwrap().slow = Duration::from_millis(300);
         for round in 0..12u64 {
             let uid = format!("job-{:06}", 100 + round);
             let body = submission(&uid, "sweep", 1).to_string();
@@ -243,6 +245,8 @@
                 }
             }
         }
+        let overwritten = state.lock().unwrap().overwritten.clone();
+        assert!(overwritten.is_empty(), "ended twice: {overwritten:?}");
     });
 }
 
--- a/tests/standins/mod.rs
+++ b/tests/standins/mod.rs
@@ -20,7 +20,11 @@
     next_permit: u64,
     changes: Vec<(u64, String, Option<Value>)>,
     pub out: bool,
+    /// Answers to readings of one key come this much later than what they say.
+    pub slow: Duration,
     pub transactions: u64,
+    /// Final states that were written over: never allowed.
+    pub overwritten: Vec<String>,
 }
 
 impl State {
@@ -67,6 +71,9 @@
         for change in then {
             if let Some(key) = text(change, "write") {
                 let value = change["value"].clone();
+                if key.starts_with("over/") && self.keys.contains_key(&key) {
+                    self.overwritten.push(key.clone());
+                }
                 self.keys.insert(key.clone(), (value.clone(), revision, change["permit"].as_u64()));
                 self.changes.push((revision, key, Some(value)));
             } else if let Some(key) = text(change, "remove") {
@@ -95,14 +102,19 @@
 }
 
 #[handler]
-fn store_get(Data(state): Data<&Shared>, Path(key): Path<String>) -> poem::Result<Response> {
-    let state = open(state)?;
-    Ok(match state.keys.get(&key) {
-        Some((value, entry, permit)) => {
-            reply(200, json!({"path": key, "value": value, "entry": entry, "permit": permit}))
-        }
-        None => reply(404, json!({ "ledger": state.revision })),
-    })
+async fn store_get(Data(state): Data<&Shared>, Path(key): Path<String>) -> poem::Result<Response> {
+    let (answer, slow) = {
+        let state = open(state)?;
+        let answer = match state.keys.get(&key) {
+            Some((value, entry, permit)) => {
+                reply(200, json!({"path": key, "value": value, "entry": entry, "permit": permit}))
+            }
+            None => reply(404, json!({ "ledger": state.revision })),
+        };
+        (answer, state.slow)
+    };
+    tokio::time::sleep(slow).await;
+    Ok(answer)
 }
 
 #[handler]
