--- a/tests/elastic_model.rs
+++ b/tests/elastic_model.rs
@@ -21,6 +21,18 @@
     }]
 }
 
+/// A machine of the bed, as a leader records it.
+fn known(i: usize) -> StoredMachine {
+    StoredMachine {
+        name: format!("m-{i:06}"),
+        machine_type: "m".into(),
+        zone: "a".into(),
+        spot: false,
+        address: String::new(),
+        images: BTreeSet::new(),
+    }
+}
+
 struct Bed {
     core: Core,
     now: u64,
@@ -269,14 +281,6 @@
     let config = Config { token: 2, zones: vec!["a".into()], ..common::config() };
     let most = config.record_machines;
     let mut core = Core::new(config, SECOND);
-    let known = |i: usize| StoredMachine {
-        name: format!("m-{i:06}"),
-        machine_type: "m".into(),
-        zone: "a".into(),
-        spot: false,
-        address: String::new(),
-        images: BTreeSet::new(),
-    };
     let old = (0..3 * most).map(known).collect::<Vec<_>>();
     let mut stored: BTreeMap<String, Vec<StoredMachine>> = [("1-1".to_string(), old)].into();
     let records = vec![("1-1".into(), stored["1-1"].clone())];
@@ -298,14 +302,6 @@
 #[test]
 fn a_machine_that_does_not_come_to_a_new_leader_is_deleted_before_its_lease_ends() {
     let mut bed = Bed::new(3, 0.0);
-    let known = |i: usize| StoredMachine {
-        name: format!("m-{i:06}"),
-        machine_type: "m".into(),
-        zone: "a".into(),
-        spot: false,
-        address: String::new(),
-        images: BTreeSet::new(),
-    };
     // The next leader: four machines are on record, three of them report.
     bed.core = Core::new(bed.core.config.clone(), bed.now);
     let job =
