Fleets of 6,000: heartbeats of large blocks, paced machine lists, overview by pages

A block heartbeat named 60 KiB of machines a second, so that a block of 6,000 with long names was never told whole and no lease of it counted as over; a list of twelve pages asked at once passes a limit of two calls a second; the overview cut off at 500 lines without saying so. Change: the rest of a heartbeat follows after 250 ms; pages are paced and refused ones repeated; the overview says what it leaves out and goes on after a name; jobs without a task are not sent in summaries.

--- a/src/api.rs
+++ b/src/api.rs
@@ -3,6 +3,7 @@
 
 use crate::controller::{CheckinReply, Event};
 use crate::core::model::{JobId, JobSpec, Kind, MachineType, Resources};
+use crate::core::overview::PageStart;
 use crate::core::Core;
 use crate::http::wall_ms;
 use crate::limits;
@@ -14,7 +15,7 @@
 use crate::settings::Team;
 use crate::store::{self, Committed, Store, StoreError};
 use poem::http::{header, StatusCode};
-use poem::web::{Data, Path};
+use poem::web::{Data, Path, Query};
 use poem::{get, handler, post, Body, EndpointExt, IntoEndpoint, Response, Route};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -355,9 +356,9 @@
 
 /// For operators: who leads, the queue with the reason each job waits, machines, recent decisions.
 #[handler]
-async fn get_overview(Data(api): Shared<'_>) -> Response {
+async fn get_overview(Data(api): Shared<'_>, Query(start): Query<PageStart>) -> Response {
     let (to, view) = oneshot::channel();
-    if api.events.try_send(Event::Overview(to)).is_ok() {
+    if api.events.try_send(Event::Overview(start, to)).is_ok() {
         if let Ok(Ok(view)) = tokio::time::timeout(limits::CHECKIN_TIMEOUT, view).await {
             if let Ok(text) = serde_json::to_string_pretty(&view) {
                 return Response::builder().content_type("application/json").body(text);
--- a/src/blocks.rs
+++ b/src/blocks.rs
@@ -148,7 +148,6 @@
         if now < self.tell_due {
             return None;
         }
-        self.tell_due = now + limits::BLOCK_TELL;
         // Machines that are gone or report elsewhere are forgotten here, where it happens once in a while.
         self.kept.retain(|_, kept| now < kept.at + limits::KEPT_IDLE);
         self.next += 1;
@@ -159,6 +158,8 @@
         };
         let machines: Vec<String> = self.answered.keys().take_while(fits).cloned().collect();
         let whole = machines.len() == self.answered.len();
+        // The rest follows at once: what the leader confirms meanwhile need not be named again.
+        self.tell_due = now + if whole { limits::BLOCK_TELL } else { limits::BLOCK_TELL_ON };
         self.told.push_back((self.next, now, machines.clone()));
         if self.told.len() > limits::BLOCK_UNCONFIRMED {
             self.told.pop_front();
--- a/src/blocks_tests.rs
+++ b/src/blocks_tests.rs
@@ -131,3 +131,35 @@
     assert_eq!(block.answers(2 * SECOND, &report(1, 2), true), Some(4));
     assert!(block.tell(4 * SECOND).unwrap().machines.is_empty(), "the machine was not heard");
 }
+
+/// 6,000 machines with names of sixty bytes are more than one frame names. The leader counts on no lease of the block
+/// ending before one heartbeat has named everybody, so the rest has to follow faster than workers report anew.
+#[test]
+fn a_large_block_with_long_names_is_told_whole_again_and_again() {
+    const MACHINES: usize = 6_000;
+    const REPORT: u64 = 2_500_000;
+    let mut block = Block::new(2 * MACHINES);
+    block.follow(4);
+    let first = block.tell(SECOND).unwrap();
+    block.confirmed(first.id, 60 * SECOND);
+    let name = |machine: usize| format!("machine-of-a-rather-long-name-in-a-zone-far-away-{machine:010}");
+    let (mut named, mut whole_at) = (std::collections::BTreeSet::new(), Vec::new());
+    let mut now = SECOND;
+    for sequence in 1..=4 {
+        for machine in 0..MACHINES {
+            now += REPORT / MACHINES as u64;
+            let worker = Report { machine: name(machine), ..report(sequence, 1) };
+            assert!(block.answers(now, &worker, false).is_some(), "its lease runs");
+            if let Some(heartbeat) = block.tell(now) {
+                let bytes: usize = heartbeat.machines.iter().map(|n| n.len() + 1).sum();
+                assert!(bytes <= crate::limits::BODY, "{bytes} bytes do not fit a frame");
+                named.extend(heartbeat.machines);
+                whole_at.extend(heartbeat.whole.then_some(now));
+                block.confirmed(heartbeat.id, 60 * SECOND);
+            }
+        }
+    }
+    assert_eq!(named.len(), MACHINES);
+    let apart = whole_at.windows(2).map(|pair| pair[1] - pair[0]).max();
+    assert!(apart.is_some_and(|apart| apart <= REPORT), "whole at {whole_at:?}");
+}
--- a/src/controller/cloud_driver.rs
+++ b/src/controller/cloud_driver.rs
@@ -3,10 +3,11 @@
 use super::Event;
 use crate::api::Types;
 use crate::cloud::{self, Cloud};
-use crate::core::{Command, Outcome};
+use crate::core::{Command, ListedMachine, Outcome};
 use crate::http::Clock;
 use crate::limits;
 use crate::protocol::cloud::{Catalog, RentalRequest};
+use crate::settings::CloudLimits;
 use crate::store::{self, Committed, Store};
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -152,23 +153,43 @@
 }
 
 /// Reads the machine list again and again; it lags, so there is no point in hurrying.
-pub(super) async fn list_machines(cloud: Cloud, events: mpsc::Sender<Event>, token: u64, lag_s: f64) {
-    let every = Duration::from_secs_f64(lag_s.clamp(4.0, 30.0));
+pub(super) async fn list_machines(
+    cloud: Cloud,
+    events: mpsc::Sender<Event>,
+    token: u64,
+    allowed: CloudLimits,
+) {
+    let every = Duration::from_secs_f64(allowed.list_lag_s.clamp(4.0, 30.0));
+    let pace = Duration::from_secs_f64(limits::LIST_PACE / allowed.rps.max(0.1));
     loop {
-        let mut all = Vec::new();
-        let mut from = String::new();
-        let complete = loop {
-            let Some((page, more)) = cloud.page(&from).await else { break false };
-            from = page.last().map(|m| m.machine.name.clone()).unwrap_or_default();
-            all.extend(page);
-            if !more || from.is_empty() {
-                break true;
-            }
-        };
         // Half a list would make machines seem missing.
-        if complete && events.send(Event::Core(token, Command::Listed(all))).await.is_err() {
-            return;
+        if let Some(all) = whole_list(&cloud, pace).await {
+            if events.send(Event::Core(token, Command::Listed(all))).await.is_err() {
+                return;
+            }
         }
         tokio::time::sleep(every).await;
     }
 }
+
+/// Every page of the list, one after the other. The list of 6,000 machines is twelve calls: all at once they would
+/// pass the limit of a cloud that allows two a second, and a list given up at its first refusal is never whole.
+async fn whole_list(cloud: &Cloud, pace: Duration) -> Option<Vec<ListedMachine>> {
+    let mut all: Vec<ListedMachine> = Vec::new();
+    let mut refusals = 0;
+    loop {
+        let from = all.last().map(|m| m.machine.name.clone()).unwrap_or_default();
+        match cloud.page(&from).await {
+            Some((page, more)) => {
+                let ended = !more || page.is_empty();
+                all.extend(page);
+                if ended {
+                    return Some(all);
+                }
+            }
+            None if refusals < limits::LIST_REFUSALS => refusals += 1,
+            None => return None,
+        }
+        tokio::time::sleep(pace).await;
+    }
+}
--- a/src/controller/health.rs
+++ b/src/controller/health.rs
@@ -1,6 +1,7 @@
 //! What this node tells of itself: to the load balancer, to its peers and to operators.
 
 use super::{Controller, NodeView};
+use crate::core::overview::PageStart;
 use crate::core::Core;
 use crate::leadership::Status;
 use crate::limits;
@@ -34,13 +35,13 @@
     }
 
     /// What operators see of this node.
-    pub(super) fn view(&self, now: u64) -> NodeView {
+    pub(super) fn view(&self, now: u64, start: &PageStart) -> NodeView {
         let node = self.settings.node_name.clone();
         let leader = match self.leadership.is_leader() {
             true => Some(node.clone()),
             false => self.leadership.leader_name(now).map(str::to_string),
         };
-        let core = self.core.as_ref().map(Core::overview);
+        let core = self.core.as_ref().map(|core| core.overview(start));
         NodeView { node, leader, token: self.config.token, core }
     }
 }
--- a/src/controller/leading.rs
+++ b/src/controller/leading.rs
@@ -99,7 +99,7 @@
         self.cloud_queue = Some(to);
         let events = self.events.clone();
         let rps = self.settings.deployment.cloud.rps;
-        let lag = self.settings.deployment.cloud.list_lag_s;
+        let cloud_limits = self.settings.deployment.cloud.clone();
         self.leading = vec![
             tokio::spawn(follow_jobs(
                 self.store.clone(),
@@ -109,7 +109,7 @@
                 self.versions.clone(),
             )),
             tokio::spawn(drive_cloud(self.cloud.clone(), events.clone(), queue, token, rps, self.gate())),
-            tokio::spawn(list_machines(self.cloud.clone(), events, token, lag)),
+            tokio::spawn(list_machines(self.cloud.clone(), events, token, cloud_limits)),
         ];
     }
 
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -17,6 +17,7 @@
 use crate::blocks::Block;
 use crate::cloud::Cloud;
 use crate::core::model::JobId;
+use crate::core::overview::{Overview, PageStart};
 use crate::core::{Command, Config, Core};
 use crate::http::{Clock, Http};
 use crate::leadership::{Leadership, StoreAnswer};
@@ -44,11 +45,11 @@
     pub leader: Option<String>,
     pub token: u64,
     #[serde(flatten)]
-    pub core: Option<crate::core::overview::Overview>,
+    pub core: Option<Overview>,
 }
 
 pub enum Event {
-    Overview(oneshot::Sender<NodeView>),
+    Overview(PageStart, oneshot::Sender<NodeView>),
     Checkin(Checkin, oneshot::Sender<CheckinReply>),
     Peer(Received),
     /// The live jobs were read.
@@ -147,8 +148,8 @@
     fn take(&mut self, now: u64, event: Event, batch: &mut Batch) {
         match event {
             Event::Checkin(checkin, to) => batch.checkins.push((checkin, to)),
-            Event::Overview(to) => {
-                let _ = to.send(self.view(now));
+            Event::Overview(start, to) => {
+                let _ = to.send(self.view(now, &start));
             }
             Event::Peer(received) => self.take_frame(now, received, batch),
             Event::Live(reading) => {
@@ -242,7 +243,9 @@
             let lines = core.summary();
             let own = lines.iter().map(|(u, d, r)| (*u, (*d, *r))).collect();
             self.summary.send_replace(Arc::new(own));
-            let lines: Vec<_> = lines.into_iter().map(|(u, d, r)| (u.0, d, r)).collect();
+            // A job that is not named counts as without a task; a frame holds some four thousand.
+            let begun = lines.into_iter().filter(|(_, done, running)| done + running > 0);
+            let lines: Vec<_> = begun.map(|(job_id, done, running)| (job_id.0, done, running)).collect();
             for to in self.outgoing.iter().flatten() {
                 let _ = to.try_send(Payload::Summary(lines.clone()));
             }
--- a/src/core/overview.rs
+++ b/src/core/overview.rs
@@ -4,8 +4,9 @@
 use super::model::*;
 use super::Core;
 use crate::limits;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
+use std::ops::Bound;
 use tracing::info;
 
 /// Use of machines by one job since it was last written to the log, in thousandths times microseconds.
@@ -24,10 +25,24 @@
     decisions: VecDeque<String>,
 }
 
+/// Where a page of the overview begins: after these names; from the beginning without them.
+#[derive(Debug, Default, Clone, Deserialize)]
+pub struct PageStart {
+    #[serde(default)]
+    pub after_job: Option<String>,
+    #[serde(default)]
+    pub after_machine: Option<String>,
+}
+
+/// One page of the leader's jobs and machines.
 #[derive(Debug, Serialize)]
 pub struct Overview {
     pub jobs: Vec<JobLine>,
+    /// Jobs that follow the last one shown; ask on with `after_job`.
+    pub more_jobs: usize,
     pub machines: Vec<MachineLine>,
+    /// Machines that follow the last one shown; ask on with `after_machine`.
+    pub more_machines: usize,
     pub decisions: Vec<String>,
 }
 
@@ -54,6 +69,35 @@
     pub leaving: bool,
 }
 
+impl JobLine {
+    fn of(job: &Job) -> Self {
+        JobLine {
+            job: job.spec.job_id.to_string(),
+            class: job.spec.class.clone(),
+            team: job.spec.team.clone(),
+            priority: format!("{:?}", job.spec.priority).to_lowercase(),
+            placed: job.places.len(),
+            waiting: job.waiting.len(),
+            done: job.done.len(),
+            waits_for: if job.waiting.is_empty() { "" } else { job.waits_for },
+        }
+    }
+}
+
+impl MachineLine {
+    fn of(machine: &Machine) -> Self {
+        MachineLine {
+            machine: machine.name.clone(),
+            machine_type: machine.machine_type.clone(),
+            zone: machine.zone.clone(),
+            spot: machine.spot,
+            phase: format!("{:?}", machine.phase).to_lowercase(),
+            tasks: machine.tasks.len(),
+            leaving: machine.draining || machine.deleting || machine.recall_at.is_some(),
+        }
+    }
+}
+
 impl Core {
     /// Keeps a decision for the overview; the log has it too.
     pub(super) fn decided(&mut self, decision: String) {
@@ -64,29 +108,19 @@
         }
     }
 
-    pub fn overview(&self) -> Overview {
-        let jobs = self.jobs.values().take(limits::OVERVIEW_LINES).map(|j| JobLine {
-            job: j.spec.job_id.to_string(),
-            class: j.spec.class.clone(),
-            team: j.spec.team.clone(),
-            priority: format!("{:?}", j.spec.priority).to_lowercase(),
-            placed: j.places.len(),
-            waiting: j.waiting.len(),
-            done: j.done.len(),
-            waits_for: if j.waiting.is_empty() { "" } else { j.waits_for },
-        });
-        let machines = self.machines.values().take(limits::OVERVIEW_LINES).map(|m| MachineLine {
-            machine: m.name.clone(),
-            machine_type: m.machine_type.clone(),
-            zone: m.zone.clone(),
-            spot: m.spot,
-            phase: format!("{:?}", m.phase).to_lowercase(),
-            tasks: m.tasks.len(),
-            leaving: m.draining || m.deleting || m.recall_at.is_some(),
-        });
+    /// A page of what operators see. A job that is not one to begin after starts the page anew.
+    pub fn overview(&self, start: &PageStart) -> Overview {
+        let after_job = start.after_job.as_deref().and_then(JobId::parse);
+        let jobs = self.jobs.range((after_job.map_or(Bound::Unbounded, Bound::Excluded), Bound::Unbounded));
+        let mut jobs = jobs.map(|(_, job)| job);
+        let after_machine = start.after_machine.as_deref().map_or(Bound::Unbounded, Bound::Excluded);
+        let machines = self.machines.range::<str, _>((after_machine, Bound::Unbounded));
+        let mut machines = machines.map(|(_, machine)| machine);
         Overview {
-            jobs: jobs.collect(),
-            machines: machines.collect(),
+            jobs: jobs.by_ref().take(limits::OVERVIEW_LINES).map(JobLine::of).collect(),
+            more_jobs: jobs.count(),
+            machines: machines.by_ref().take(limits::OVERVIEW_LINES).map(MachineLine::of).collect(),
+            more_machines: machines.count(),
             decisions: self.ledger.decisions.iter().cloned().collect(),
         }
     }
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -88,8 +88,11 @@
 pub const BLOCK_RETRY: u64 = 8_000_000;
 /// Bytes of machine names in one word to the leader: a frame holds 64 KiB.
 pub const BLOCK_WORD: usize = 60 * 1024;
-/// Words to the leader without confirmation that are remembered.
-pub const BLOCK_UNCONFIRMED: usize = 8;
+/// A heartbeat that could not name every machine is followed by the next after this: the leader counts on no lease
+/// of this block ending before one has named them all, and 6,000 machines with long names take several frames.
+pub const BLOCK_TELL_ON: u64 = 250_000;
+/// Heartbeats without confirmation that are remembered: those of four seconds.
+pub const BLOCK_UNCONFIRMED: usize = 16;
 /// A report that was passed on waits this long for the leader; then the worker is kept alive if it may be,
 /// or sent elsewhere. Well within the 4 s that it gives us.
 pub const RELAY_PATIENCE: u64 = 1_500_000;
@@ -260,6 +263,11 @@
 /// Machines on a page of the cloud's list, the most that PROTOCOL allows: a fleet of 1,900 is four calls.
 pub const LIST_PAGE: u32 = 500;
 
+/// Pages of one list are apart by so many parts of a second of the cloud's limit: half of the limit is the rentals'.
+pub const LIST_PACE: f64 = 2.0;
+/// Refused pages after which a list is given up until the next.
+pub const LIST_REFUSALS: u32 = 4;
+
 /// Rental requests under way at once: what goes out in two seconds at the leader's half of the cloud's limit.
 pub fn rentals_at_once(rps: f64) -> usize {
     (rps as usize).max(1)
