--- /dev/null
+++ b/crates/dockpier-drain/src/lib.rs
@@ -0,0 +1,26 @@
+//! Planned draining of machines in steps, each team's disruption kept within a budget that it has agreed to.
+//!
+//! The crate decides and does nothing else: what it is given is a view of the fleet, what it returns is a choice.
+//! It does no I/O and keeps no clock (times come with every call, in milliseconds of the time of day); only the
+//! solver watches its own time limit. The scheduler's core holds the state, carries choices out under the rules that
+//! it keeps anyway, and writes the records.
+//!
+//! | module | job |
+//! | --- | --- |
+//! | [`request`] | what operators ask for, checked |
+//! | [`budget`] | what a team has agreed to |
+//! | [`ledger`] | what of it is spent, reserved and left in the sliding window |
+//! | [`progress`] | how far each machine of a drain is |
+//! | [`plan`] | which machines the next step may take |
+//! | [`stops`] | what may happen to a task on a cordoned machine |
+//! | [`status`] | what operators are told |
+
+#![deny(missing_docs)]
+
+pub mod budget;
+pub mod ledger;
+pub mod plan;
+pub mod progress;
+pub mod request;
+pub mod status;
+pub mod stops;
--- /dev/null
+++ b/crates/dockpier-virtual-fleet/src/history.rs
@@ -0,0 +1,165 @@
+//! What happened on the workers, by their own records.
+
+use crate::worker::Worker;
+use dockpier::core::model::*;
+use dockpier::core::Core;
+use dockpier::limits::{self, SECOND};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Time for which a replica that had served did not serve.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Disruption {
+    /// The replica.
+    pub task: TaskId,
+    /// From when.
+    pub from: u64,
+    /// Until when; `None`: it still does not.
+    pub until: Option<u64>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct JobFacts {
+    service: bool,
+    runs_s: f64,
+}
+
+/// The records of all workers.
+#[derive(Debug, Default)]
+pub struct History {
+    /// Where each task runs now.
+    running: BTreeMap<TaskId, BTreeSet<String>>,
+    /// Tasks that were on two machines at once.
+    pub ran_twice: BTreeSet<TaskId>,
+    /// Orders to start, by task and attempt.
+    pub orders: BTreeMap<(TaskId, u64), usize>,
+    /// Starts of each task.
+    pub starts: BTreeMap<TaskId, usize>,
+    /// Time for which replicas did not serve, by job.
+    pub disruptions: Vec<Disruption>,
+    /// Tasks of arrays and gangs that ended without saving or finishing, with the seconds that they had run.
+    pub lost_work: Vec<(TaskId, f64)>,
+    /// Tasks that finished.
+    pub finished: BTreeSet<TaskId>,
+    /// Machines given back or deleted.
+    pub returned: BTreeSet<String>,
+    /// The fewest replicas that each service had running in each zone, once it had all.
+    pub fewest: BTreeMap<(JobId, String), usize>,
+    jobs: BTreeMap<JobId, JobFacts>,
+    since: BTreeMap<TaskId, u64>,
+    saved: BTreeSet<TaskId>,
+    complete: BTreeSet<JobId>,
+}
+
+impl History {
+    pub(crate) fn started(&mut self, now: u64, id: TaskId, machine: &str) {
+        let on = self.running.entry(id).or_default();
+        on.insert(machine.to_string());
+        if on.len() > 1 {
+            self.ran_twice.insert(id);
+        }
+        self.since.insert(id, now);
+        self.saved.remove(&id);
+        *self.starts.entry(id).or_default() += 1;
+        let open = self.disruptions.iter_mut().find(|d| d.task == id && d.until.is_none());
+        if let Some(disruption) = open {
+            disruption.until = Some(now);
+        }
+    }
+
+    pub(crate) fn ordered(&mut self, _now: u64, id: TaskId, attempt: u64, _machine: &str) {
+        *self.orders.entry((id, attempt)).or_default() += 1;
+    }
+
+    pub(crate) fn saved(&mut self, _now: u64, id: TaskId) {
+        self.saved.insert(id);
+    }
+
+    pub(crate) fn finished(&mut self, _now: u64, id: TaskId, machine: &str) {
+        self.finished.insert(id);
+        self.leave(id, machine);
+    }
+
+    /// A task ended without finishing.
+    pub(crate) fn ended(&mut self, now: u64, id: TaskId, machine: &str, _lost: bool) {
+        if !self.leave(id, machine) {
+            return;
+        }
+        let Some(facts) = self.jobs.get(&id.job_id).copied() else { return };
+        if facts.service {
+            self.disruptions.push(Disruption { task: id, from: now, until: None });
+        } else if !self.saved.remove(&id) {
+            let ran = now.saturating_sub(self.since.get(&id).copied().unwrap_or(now));
+            self.lost_work.push((id, ran as f64 / SECOND as f64));
+        }
+    }
+
+    pub(crate) fn lose_machine(&mut self, now: u64, worker: &mut Worker) {
+        let tasks = std::mem::take(&mut worker.tasks);
+        tasks.keys().for_each(|id| self.ended(now, *id, &worker.name, true));
+    }
+
+    fn leave(&mut self, id: TaskId, machine: &str) -> bool {
+        self.running.get_mut(&id).is_some_and(|on| on.remove(machine))
+    }
+
+    /// A user cancelled the job: it is not missed any more.
+    pub(crate) fn forget_job(&mut self, job_id: JobId) {
+        self.jobs.remove(&job_id);
+        self.complete.remove(&job_id);
+        self.disruptions.retain(|d| d.task.job_id != job_id || d.until.is_some());
+    }
+
+    /// When a task that begins now is through.
+    pub(crate) fn runs_until(&self, now: u64, id: TaskId) -> u64 {
+        match self.jobs.get(&id.job_id) {
+            Some(facts) if !facts.service => now + limits::micros(facts.runs_s),
+            _ => u64::MAX,
+        }
+    }
+
+    pub(crate) fn observe<'a>(&mut self, now: u64, core: &Core, workers: impl Iterator<Item = &'a Worker>) {
+        for job in core.jobs.values() {
+            let service = job.spec.kind == Kind::Service;
+            let facts = JobFacts { service, runs_s: job.spec.estimate_s };
+            self.jobs.entry(job.spec.job_id).or_insert(facts);
+        }
+        let mut by_zone: BTreeMap<(JobId, String), usize> = BTreeMap::new();
+        let mut all: BTreeMap<JobId, u32> = BTreeMap::new();
+        for worker in workers.filter(|worker| worker.is_up(now) && !worker.dead) {
+            for (id, _) in worker.tasks.iter().filter(|(_, t)| t.status == TaskStatus::Running) {
+                if self.jobs.get(&id.job_id).is_some_and(|facts| facts.service) {
+                    *by_zone.entry((id.job_id, worker.zone.clone())).or_default() += 1;
+                    *all.entry(id.job_id).or_default() += 1;
+                }
+            }
+        }
+        for (job_id, running) in all {
+            if core.jobs.get(&job_id).is_some_and(|job| job.spec.tasks == running) {
+                self.complete.insert(job_id);
+            }
+        }
+        for job_id in &self.complete {
+            for zone in &core.config.zones {
+                let key = (*job_id, zone.clone());
+                let here = by_zone.get(&key).copied().unwrap_or(0);
+                let fewest = self.fewest.entry(key).or_insert(here);
+                *fewest = (*fewest).min(here);
+            }
+        }
+    }
+
+    /// Seconds for which replicas of these jobs did not serve, within the last `window_s`.
+    pub fn replica_s(&self, now: u64, window_s: f64, of: impl Fn(JobId) -> bool) -> f64 {
+        let begins = now.saturating_sub(limits::micros(window_s));
+        let own = self.disruptions.iter().filter(|d| of(d.task.job_id));
+        let lasted = own.map(|d| d.until.unwrap_or(now).min(now).saturating_sub(d.from.max(begins)));
+        lasted.sum::<u64>() as f64 / SECOND as f64
+    }
+
+    /// The most replicas of these jobs that did not serve at the same time.
+    pub fn most_at_once(&self, now: u64, of: impl Fn(JobId) -> bool) -> usize {
+        let own: Vec<&Disruption> = self.disruptions.iter().filter(|d| of(d.task.job_id)).collect();
+        let down = |at: u64| own.iter().filter(|d| d.from <= at && d.until.unwrap_or(now + 1) > at).count();
+        own.iter().map(|d| down(d.from)).max().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/dockpier-virtual-fleet/src/lib.rs
@@ -0,0 +1,471 @@
+//! A fleet in virtual time: the real core as the leader, and stand-ins for workers, cloud and state service that keep
+//! their own records of what happened. Tests and measurements judge by those records, not by the core's.
+
+#![deny(missing_docs)]
+
+mod history;
+mod store;
+mod worker;
+
+pub use history::{Disruption, History};
+pub use store::Store;
+pub use worker::{Worker, WorkerTask};
+
+use dockpier::core::drains::LoadedDrains;
+use dockpier::core::model::*;
+use dockpier::core::{Command, Config, Core, Effect, ListedMachine, Outcome, StoredJob, StoredMachine};
+use dockpier::limits::{self, SECOND};
+use dockpier::settings::{Operator, Team, Workers};
+use dockpier_drain::request::{DrainRequest, StoredRequest, Wish};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Resolution of the fleet's time, in microseconds.
+const TICK: u64 = SECOND / 10;
+/// The time of day at which a fleet begins, in milliseconds.
+pub const DAY_BEGINS: u64 = 1_700_000_000_000;
+/// From the end of a leader to the first step of the next.
+const ELECTION: u64 = 3 * SECOND;
+/// How long the state service and the cloud take to answer.
+const ANSWERS_AFTER: u64 = SECOND / 10;
+/// How often the cloud's list is read.
+const LIST_EVERY: u64 = 4 * SECOND;
+
+/// What a fleet is made of.
+#[derive(Debug, Clone)]
+pub struct Layout {
+    /// Its zones.
+    pub zones: Vec<String>,
+    /// Machines of each zone at the start.
+    pub machines: usize,
+    /// Machines that the cloud has in each zone.
+    pub capacity: usize,
+    /// Slots of a machine: processor cores, GPUs and GB alike.
+    pub slots: f64,
+    /// Teams.
+    pub teams: Vec<Team>,
+    /// The operators' settings.
+    pub operator: Operator,
+    /// Interval between reports, in seconds.
+    pub report_s: f64,
+    /// Time that a machine takes to boot, in seconds.
+    pub boot_s: f64,
+    /// Changes a second that the state service takes.
+    pub write_rps: f64,
+    /// Bytes of a value of the state service.
+    pub value_most: usize,
+}
+
+impl Default for Layout {
+    fn default() -> Self {
+        Layout {
+            zones: vec!["a".into(), "b".into()],
+            machines: 4,
+            capacity: 64,
+            slots: 4.0,
+            teams: vec![Team { name: "t".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 }],
+            // Machines without work are kept: here they are there to be looked at.
+            operator: Operator { idle_s: 36_000.0, reserve_services: 0, ..Operator::default() },
+            report_s: 1.0,
+            boot_s: 5.0,
+            write_rps: 200.0,
+            value_most: 4_096,
+        }
+    }
+}
+
+/// The type of every machine.
+pub const MACHINE_TYPE: &str = "m";
+
+/// A leader with everything around it.
+pub struct Fleet {
+    /// The leader.
+    pub core: Core,
+    /// The state service.
+    pub store: Store,
+    /// What happened on the workers.
+    pub history: History,
+    /// Effects of the core that tests may look at: the last step's.
+    pub last_effects: Vec<Effect>,
+    layout: Layout,
+    config: Config,
+    now: u64,
+    workers: BTreeMap<String, Worker>,
+    /// Rentals by name: the same name again rents nothing more.
+    rentals: BTreeMap<String, Vec<String>>,
+    made: usize,
+    /// Commands that reach the core later.
+    later: Vec<(u64, Command)>,
+    list_due: u64,
+    /// Machines that never come up.
+    pub never_boot: usize,
+}
+
+impl Fleet {
+    /// A fleet whose machines are up.
+    pub fn new(layout: Layout) -> Self {
+        let config = config(&layout);
+        let now = SECOND;
+        let mut fleet = Fleet {
+            core: Core::new(config.clone(), now),
+            store: Store::default(),
+            history: History::default(),
+            last_effects: Vec::new(),
+            config,
+            now,
+            workers: BTreeMap::new(),
+            rentals: BTreeMap::new(),
+            made: 0,
+            later: Vec::new(),
+            list_due: 0,
+            never_boot: 0,
+            layout,
+        };
+        for zone in fleet.layout.zones.clone() {
+            for _ in 0..fleet.layout.machines {
+                fleet.make_machine(&zone, 0);
+            }
+        }
+        fleet.load();
+        fleet.run(4.0);
+        fleet
+    }
+
+    /// The steady clock in microseconds.
+    pub fn now(&self) -> u64 {
+        self.now
+    }
+
+    /// The time of day in milliseconds.
+    pub fn day_ms(&self) -> u64 {
+        DAY_BEGINS + self.now / 1_000
+    }
+
+    /// Names of machines that are there, with their workers.
+    pub fn workers(&self) -> impl Iterator<Item = (&str, &Worker)> {
+        self.workers.iter().map(|(name, worker)| (name.as_str(), worker))
+    }
+
+    /// Names of machines that are there.
+    pub fn machine_names(&self) -> Vec<String> {
+        self.workers.keys().cloned().collect()
+    }
+
+    /// The cloud's rentals by name.
+    pub fn rentals(&self) -> &BTreeMap<String, Vec<String>> {
+        &self.rentals
+    }
+
+    /// A user submits a job.
+    pub fn submit(&mut self, spec: JobSpec) {
+        let stored = StoredJob { version: spec.job_id.0, spec, age: 0, done: BTreeSet::new() };
+        self.store.jobs.insert(stored.spec.job_id, stored.clone());
+        self.step(vec![Command::JobAdded(stored)]);
+    }
+
+    /// A user cancels a job.
+    pub fn cancel(&mut self, job_id: u64) {
+        self.store.jobs.remove(&JobId(job_id));
+        self.history.forget_job(JobId(job_id));
+        self.step(vec![Command::JobRemoved(JobId(job_id))]);
+    }
+
+    /// An operator asks for a drain.
+    pub fn drain(&mut self, request: DrainRequest) {
+        let stored = StoredRequest { request, accepted: self.day_ms(), wish: Wish::Run };
+        self.store.requests.insert(stored.request.id.clone(), stored);
+        self.tell_requests();
+    }
+
+    /// An operator wants something else of a drain.
+    pub fn wish(&mut self, id: &str, wish: Wish) {
+        for stored in self.store.requests.values_mut().filter(|stored| stored.request.id.as_str() == id) {
+            stored.wish = wish;
+        }
+        self.tell_requests();
+    }
+
+    fn tell_requests(&mut self) {
+        let requests = self.store.requests.values().cloned().collect();
+        self.step(vec![Command::DrainRequests(requests)]);
+    }
+
+    /// Time passes.
+    pub fn run(&mut self, seconds: f64) {
+        let until = self.now + limits::micros(seconds);
+        while self.now < until {
+            self.tick();
+        }
+    }
+
+    /// Time passes until something holds; returns whether it came to that.
+    pub fn run_until(&mut self, most_s: f64, mut holds: impl FnMut(&Fleet) -> bool) -> bool {
+        let until = self.now + limits::micros(most_s);
+        while self.now < until {
+            if holds(self) {
+                return true;
+            }
+            self.tick();
+        }
+        holds(self)
+    }
+
+    /// The leader ends and another one takes over.
+    pub fn change_leader(&mut self) {
+        self.later.clear();
+        let until = self.now + ELECTION;
+        while self.now < until {
+            self.now += TICK;
+            self.work();
+        }
+        self.config.token += 1;
+        self.core = Core::new(self.config.clone(), self.now);
+        self.load();
+    }
+
+    /// A machine ends with everything on it.
+    pub fn kill_machine(&mut self, name: &str) {
+        let now = self.now;
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.dead = true;
+            self.history.lose_machine(now, worker);
+        }
+    }
+
+    /// A machine hangs: its tasks stand still, it neither reports nor takes commands.
+    pub fn hang_machine(&mut self, name: &str, seconds: f64) {
+        let until = self.now + limits::micros(seconds);
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.hangs_until = until;
+        }
+    }
+
+    /// The cloud announces that it takes a machine.
+    pub fn announce_loss(&mut self, name: &str, seconds: f64) {
+        let at = self.now + limits::micros(seconds);
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.taken_at = Some(at);
+        }
+    }
+
+    /// One step of time.
+    pub fn tick(&mut self) {
+        self.now += TICK;
+        self.work();
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.later).into_iter().partition(|(at, _)| *at <= now);
+        self.later = later;
+        let mut batch: Vec<Command> = due.into_iter().map(|(_, command)| command).collect();
+        batch.extend(self.reports());
+        if now >= self.list_due {
+            self.list_due = now + LIST_EVERY;
+            batch.push(Command::Listed(self.list()));
+        }
+        self.step(batch);
+        self.history.observe(now, &self.core, self.workers.values());
+    }
+
+    /// Workers do what they do by themselves.
+    fn work(&mut self) {
+        let now = self.now;
+        let lease = limits::micros(self.config.workers.lease_s);
+        let taken: Vec<String> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.taken_at.is_some_and(|at| now >= at))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in taken {
+            self.kill_machine(&name);
+            self.workers.remove(&name);
+        }
+        for worker in self.workers.values_mut() {
+            worker.work(now, lease, &mut self.history);
+        }
+    }
+
+    fn reports(&mut self) -> Vec<Command> {
+        let now = self.now;
+        let interval = limits::micros(self.layout.report_s);
+        let due = self.workers.values_mut().filter(|worker| worker.reports(now));
+        due.map(|worker| {
+            worker.next_report = now + interval;
+            Command::Checkin { reply: worker.number, report: worker.report(now), via: None }
+        })
+        .collect()
+    }
+
+    fn step(&mut self, batch: Vec<Command>) {
+        self.core.time_of_day(self.now, DAY_BEGINS + self.now / 1_000);
+        let effects = self.core.step(self.now, batch);
+        for effect in &effects {
+            self.carry_out(effect.clone());
+        }
+        if !effects.is_empty() {
+            self.last_effects = effects;
+        }
+    }
+
+    fn answer(&mut self, command: Command) {
+        self.later.push((self.now + ANSWERS_AFTER, command));
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Answer { reply, orders, .. } => {
+                let (now, token) = (self.now, self.config.token);
+                let worker = self.workers.values_mut().find(|worker| worker.number == reply);
+                if let Some(worker) = worker {
+                    worker.answered(now, token, &orders, &mut self.history);
+                }
+            }
+            Effect::Direct { machine, session, orders, .. } => {
+                let now = self.now;
+                if let Some(worker) = self.workers.get_mut(&machine).filter(|w| w.session == session) {
+                    worker.take_direct(now, &orders, &mut self.history);
+                }
+            }
+            Effect::Rent { request, name, zone, spot, count, .. } => {
+                let token = self.config.token;
+                let name = name.unwrap_or_else(|| format!("r-{token}-{request}"));
+                let (machines, outcome) = self.rent(&name, &zone, spot, count);
+                self.answer(Command::Rented { request, machines, outcome });
+            }
+            Effect::Delete(machines) => {
+                for name in &machines {
+                    self.kill_machine(name);
+                    self.workers.remove(name);
+                }
+                self.history.returned.extend(machines.iter().cloned());
+                self.answer(Command::Deleted { machines, outcome: Outcome::Done });
+            }
+            Effect::Finish { job_id, .. } => {
+                self.store.jobs.remove(&job_id);
+                self.answer(Command::Finished { job_id, outcome: Outcome::Done });
+            }
+            effect => {
+                if let Some(command) = self.store.carry_out(effect) {
+                    self.answer(command);
+                }
+            }
+        }
+    }
+
+    fn rent(&mut self, name: &str, zone: &str, spot: bool, count: u32) -> (Option<Vec<String>>, Outcome) {
+        if let Some(machines) = self.rentals.get(name) {
+            return (Some(machines.clone()), Outcome::Done);
+        }
+        let here = self.workers.values().filter(|worker| worker.zone == zone).count();
+        let free = self.layout.capacity.saturating_sub(here).min(count as usize);
+        if free == 0 || spot {
+            return (None, Outcome::Refused);
+        }
+        let boots = limits::micros(self.layout.boot_s);
+        let names: Vec<String> = (0..free).map(|_| self.make_machine(zone, boots)).collect();
+        self.rentals.insert(name.to_string(), names.clone());
+        (Some(names), Outcome::Done)
+    }
+
+    fn make_machine(&mut self, zone: &str, boots: u64) -> String {
+        self.made += 1;
+        let name = format!("m-{:06}", self.made);
+        let interval = limits::micros(self.layout.report_s);
+        let spread = interval * (self.made as u64 % 10) / 10;
+        let mut up_at = self.now + boots;
+        if boots > 0 && self.never_boot > 0 {
+            self.never_boot -= 1;
+            up_at = u64::MAX;
+        }
+        let first = up_at.saturating_add(spread);
+        let worker = Worker::new(self.made as u64, &name, zone, up_at, first, self.layout.slots);
+        self.workers.insert(name.clone(), worker);
+        name
+    }
+
+    fn list(&self) -> Vec<ListedMachine> {
+        let listed = self.workers.values().map(|worker| ListedMachine {
+            machine: StoredMachine {
+                name: worker.name.clone(),
+                machine_type: MACHINE_TYPE.into(),
+                zone: worker.zone.clone(),
+                spot: false,
+                address: String::new(),
+                images: BTreeSet::new(),
+            },
+            failed: worker.dead,
+            age_s: 1_000.0,
+        });
+        listed.collect()
+    }
+
+    /// A leader begins with what the state service holds.
+    fn load(&mut self) {
+        let slots = self.layout.slots;
+        let machine_type = MachineType {
+            name: MACHINE_TYPE.into(),
+            has: Resources::offered(slots, slots, slots),
+            price: 1.0,
+            spot_price: None,
+            boot_s: self.layout.boot_s,
+            fetch_gb_per_s: worker::FETCH_GB_PER_S,
+            zones: self.layout.zones.clone(),
+        };
+        let mut batch = vec![Command::Types(vec![machine_type])];
+        if self.layout.operator.draining.enabled {
+            let LoadedDrains { requests, progress, ledgers } = self.store.loaded_drains();
+            batch.push(Command::LoadDrains(LoadedDrains { requests, progress, ledgers }));
+        }
+        let (jobs, records) = (self.store.jobs.values().cloned().collect(), self.store.records());
+        batch.push(Command::Load { jobs, records });
+        self.step(batch);
+    }
+}
+
+fn config(layout: &Layout) -> Config {
+    Config {
+        token: 1,
+        operator: layout.operator.clone(),
+        workers: Workers {
+            report_s: layout.report_s,
+            lease_s: 10.0 + 2.0 * layout.report_s,
+            cancel_s: 60.0,
+            gang_wait_s: 30.0,
+            gang_peer_s: 6.0,
+        },
+        teams: layout.teams.clone(),
+        zones: layout.zones.clone(),
+        list_lag_s: 3.0,
+        round_steps: limits::ROUND_STEPS,
+        cpu_share: 1.0,
+        write_rps: layout.write_rps,
+        record_machines: limits::record_machines(layout.value_most as f64 / 1_024.0),
+        value_most: layout.value_most,
+        rentals_at_once: 10,
+        block_lease: 0,
+    }
+}
+
+/// A job of tasks that take a slot each.
+pub fn job(id: u64, team: &str, kind: Kind, tasks: u32) -> JobSpec {
+    let service = kind == Kind::Service;
+    JobSpec {
+        job_id: JobId(id),
+        class: "c".into(),
+        team: team.into(),
+        kind,
+        priority: if service { Priority::Critical } else { Priority::Normal },
+        tasks,
+        needs: Resources::needed(1.0, 1.0, 1.0),
+        image: format!("image-{id}"),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: kind == Kind::Gang,
+        spread: service,
+        spot: false,
+        estimate_s: if service { 0.0 } else { 60.0 },
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
--- /dev/null
+++ b/crates/dockpier-virtual-fleet/src/store.rs
@@ -0,0 +1,98 @@
+//! The state service: what a leader writes, and what the next one reads.
+
+use dockpier::core::drains::{DrainKey, DrainValue, LoadedDrains};
+use dockpier::core::model::JobId;
+use dockpier::core::{Command, Effect, Outcome, StoredJob, StoredMachine};
+use dockpier_drain::ledger::LedgerRecord;
+use dockpier_drain::progress::Chunk;
+use dockpier_drain::request::{DrainId, StoredRequest};
+use dockpier_drain::status::Summary;
+use std::collections::BTreeMap;
+
+/// Everything that is stored.
+#[derive(Debug, Default)]
+pub struct Store {
+    /// Live jobs.
+    pub jobs: BTreeMap<JobId, StoredJob>,
+    /// What operators asked for.
+    pub requests: BTreeMap<DrainId, StoredRequest>,
+    /// What operators are told.
+    pub summaries: BTreeMap<DrainId, Summary>,
+    /// The teams' disruption.
+    pub ledgers: BTreeMap<String, LedgerRecord>,
+    /// Parts of each drain's machines.
+    pub progress: BTreeMap<DrainId, BTreeMap<usize, Chunk>>,
+    /// Changes are refused.
+    pub out: bool,
+    /// Changes are carried out, and their answers are lost.
+    pub answers_lost: bool,
+    /// Changes for drains so far.
+    pub drain_writes: usize,
+    machines: BTreeMap<String, Vec<StoredMachine>>,
+}
+
+impl Store {
+    /// Machine records.
+    pub fn records(&self) -> Vec<(String, Vec<StoredMachine>)> {
+        self.machines.iter().map(|(key, machines)| (key.clone(), machines.clone())).collect()
+    }
+
+    /// Drains, as a new leader reads them.
+    pub fn loaded_drains(&self) -> LoadedDrains {
+        let parts = |parts: &BTreeMap<usize, Chunk>| parts.values().cloned().collect();
+        LoadedDrains {
+            requests: self.requests.values().cloned().collect(),
+            progress: self.progress.iter().map(|(id, chunks)| (id.clone(), parts(chunks))).collect(),
+            ledgers: self.ledgers.clone(),
+        }
+    }
+
+    /// Carries out a change and says what the core is told of it.
+    pub fn carry_out(&mut self, effect: Effect) -> Option<Command> {
+        let outcome = match (self.out, self.answers_lost) {
+            (true, _) => Outcome::Refused,
+            (false, true) => Outcome::Unknown,
+            (false, false) => Outcome::Done,
+        };
+        let takes = !self.out;
+        match effect {
+            Effect::Record { key, machines } => {
+                if takes && machines.is_empty() {
+                    self.machines.remove(&key);
+                } else if takes {
+                    self.machines.insert(key.clone(), machines);
+                }
+                Some(Command::Recorded { key, outcome })
+            }
+            Effect::CommitDone { job_id, tasks, .. } => {
+                if let Some(job) = self.jobs.get_mut(&job_id).filter(|_| takes) {
+                    job.done.extend(&tasks);
+                }
+                Some(Command::Committed { job_id, tasks, outcome })
+            }
+            Effect::WriteDrain { key, value } => {
+                self.drain_writes += 1;
+                if takes {
+                    self.write_drain(&key, value);
+                }
+                Some(Command::DrainWritten { key, outcome })
+            }
+            _ => None,
+        }
+    }
+
+    fn write_drain(&mut self, key: &DrainKey, value: DrainValue) {
+        match (key, value) {
+            (DrainKey::Progress(id, part), DrainValue::Progress(chunk)) => {
+                self.progress.entry(id.clone()).or_default().insert(*part, chunk);
+            }
+            (DrainKey::Summary(id), DrainValue::Summary(summary)) => {
+                self.summaries.insert(id.clone(), summary);
+            }
+            (DrainKey::Ledger(team), DrainValue::Ledger(record)) => {
+                self.ledgers.insert(team.clone(), record);
+            }
+            (key, value) => panic!("{key:?} does not hold {value:?}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dockpier-virtual-fleet/src/worker.rs
@@ -0,0 +1,191 @@
+//! A worker: carries out what it is told, and keeps to its lease.
+
+use crate::history::History;
+use dockpier::core::model::*;
+use dockpier::core::Order;
+use dockpier::limits::{self, SECOND};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Rate at which workers fetch images.
+pub const FETCH_GB_PER_S: f64 = 0.5;
+/// Every image of the fleet's jobs has this size.
+const IMAGE_GB: f64 = 1.0;
+
+/// A task on a worker.
+#[derive(Debug, Clone)]
+pub struct WorkerTask {
+    /// The attempt under which it was started.
+    pub attempt: u64,
+    /// How far it is.
+    pub status: TaskStatus,
+    /// When it goes on to the next state by itself.
+    until: u64,
+}
+
+/// A machine with its worker.
+#[derive(Debug, Clone)]
+pub struct Worker {
+    /// Its number, by which answers find it.
+    pub number: u64,
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its session.
+    pub session: u64,
+    /// Its tasks.
+    pub tasks: BTreeMap<TaskId, WorkerTask>,
+    /// Its slots.
+    pub slots: f64,
+    /// It has ended with everything on it.
+    pub dead: bool,
+    pub(crate) hangs_until: u64,
+    pub(crate) taken_at: Option<u64>,
+    pub(crate) next_report: u64,
+    up_at: u64,
+    sequence: u64,
+    token: u64,
+    answered_at: u64,
+    images: BTreeSet<u64>,
+}
+
+impl Worker {
+    pub(crate) fn new(number: u64, name: &str, zone: &str, up_at: u64, first: u64, slots: f64) -> Self {
+        Worker {
+            number,
+            name: name.into(),
+            zone: zone.into(),
+            session: 1,
+            tasks: BTreeMap::new(),
+            slots,
+            dead: false,
+            hangs_until: 0,
+            taken_at: None,
+            next_report: first,
+            up_at,
+            sequence: 0,
+            token: 0,
+            answered_at: up_at,
+            images: BTreeSet::new(),
+        }
+    }
+
+    /// Whether the worker is up and does what it should.
+    pub fn is_well(&self, now: u64) -> bool {
+        !self.dead && now >= self.up_at && now >= self.hangs_until
+    }
+
+    /// Whether it has come up at all.
+    pub fn is_up(&self, now: u64) -> bool {
+        now >= self.up_at
+    }
+
+    pub(crate) fn reports(&self, now: u64) -> bool {
+        self.is_well(now) && now >= self.next_report
+    }
+
+    pub(crate) fn report(&mut self, now: u64) -> Report {
+        self.sequence += 1;
+        let tasks = self.tasks.iter();
+        let tasks = tasks.map(|(id, t)| ReportedTask { id: *id, attempt: t.attempt, status: t.status });
+        Report {
+            machine: self.name.clone(),
+            address: String::new(),
+            machine_type: crate::MACHINE_TYPE.into(),
+            zone: self.zone.clone(),
+            spot: false,
+            session: self.session,
+            sequence: self.sequence,
+            token: self.token,
+            notice_s: self.taken_at.map(|at| at.saturating_sub(now) as f64 / SECOND as f64),
+            tasks: tasks.collect(),
+        }
+    }
+
+    /// What happens as time passes.
+    pub(crate) fn work(&mut self, now: u64, lease: u64, history: &mut History) {
+        if !self.is_well(now) {
+            return;
+        }
+        if now > self.answered_at + lease {
+            self.tasks.keys().for_each(|id| history.ended(now, *id, &self.name, true));
+            self.tasks.clear();
+            self.session += 1;
+            self.answered_at = now;
+        }
+        let Worker { tasks, images, name, .. } = self;
+        for (id, task) in tasks.iter_mut().filter(|(_, task)| now >= task.until) {
+            match task.status {
+                TaskStatus::Fetching => {
+                    images.insert(id.job_id.0);
+                    (task.status, task.until) = (TaskStatus::Running, history.runs_until(now, *id));
+                    history.started(now, *id, name);
+                }
+                TaskStatus::Running => {
+                    (task.status, task.until) = (TaskStatus::Exited(ExitReason::Done), u64::MAX);
+                    history.finished(now, *id, name);
+                }
+                TaskStatus::Saving => {
+                    (task.status, task.until) = (TaskStatus::Exited(ExitReason::Stopped), u64::MAX);
+                    history.ended(now, *id, name, false);
+                }
+                TaskStatus::Exited(_) => {}
+            }
+        }
+    }
+
+    pub(crate) fn answered(&mut self, now: u64, token: u64, orders: &[Order], history: &mut History) {
+        if !self.is_well(now) || token < self.token {
+            return;
+        }
+        self.token = token;
+        self.answered_at = now;
+        orders.iter().for_each(|order| self.take(now, order, history));
+    }
+
+    /// Direct commands carry stops.
+    pub(crate) fn take_direct(&mut self, now: u64, orders: &[Order], history: &mut History) {
+        if self.is_well(now) {
+            let stops = orders.iter().filter(|order| matches!(order, Order::Stop { .. }));
+            stops.for_each(|order| self.take(now, order, history));
+        }
+    }
+
+    fn take(&mut self, now: u64, order: &Order, history: &mut History) {
+        match order {
+            Order::Start { id, attempt } => {
+                let fetch = match self.images.contains(&id.job_id.0) {
+                    true => 0.0,
+                    false => IMAGE_GB / FETCH_GB_PER_S,
+                };
+                history.ordered(now, *id, *attempt, &self.name);
+                let until = now + limits::micros(fetch);
+                let task = WorkerTask { attempt: *attempt, status: TaskStatus::Fetching, until };
+                self.tasks.entry(*id).or_insert(task);
+            }
+            Order::Stop { id, attempt, grace_s } => {
+                let Some(task) = self.tasks.get_mut(id).filter(|task| task.attempt == *attempt) else {
+                    return;
+                };
+                match task.status {
+                    TaskStatus::Running if *grace_s > 0.0 => {
+                        history.saved(now, *id);
+                        let until = now + limits::micros(*grace_s / 2.0);
+                        (task.status, task.until) = (TaskStatus::Saving, until);
+                    }
+                    TaskStatus::Running | TaskStatus::Fetching => {
+                        (task.status, task.until) = (TaskStatus::Exited(ExitReason::Stopped), u64::MAX);
+                        history.ended(now, *id, &self.name, false);
+                    }
+                    TaskStatus::Saving | TaskStatus::Exited(_) => {}
+                }
+            }
+            Order::Forget { id, attempt } => {
+                let exited = |task: &WorkerTask| matches!(task.status, TaskStatus::Exited(_));
+                if self.tasks.get(id).is_some_and(|task| task.attempt == *attempt && exited(task)) {
+                    self.tasks.remove(id);
+                }
+            }
+        }
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -12,7 +12,7 @@
 use crate::protocol::records::{FinalRecord, LiveRecord};
 use crate::protocol::users::{JobState, JobStatus, Submission};
 use crate::protocol::workers::{Checkin, Redirect};
-use crate::settings::Team;
+use crate::settings::{Draining, Team};
 use crate::store::{self, Committed, Store, StoreError};
 use poem::http::{header, StatusCode};
 use poem::web::{Data, Path, Query};
@@ -42,10 +42,20 @@
     pub cut_off: AtomicBool,
 }
 
+/// What the settings say that requests are checked against.
+pub struct ApiSettings {
+    /// The teams with their guarantees and limits.
+    pub teams: Vec<Team>,
+    /// The zones.
+    pub zones: Vec<String>,
+    /// Whether drains are taken, and the teams' budgets.
+    pub draining: Draining,
+}
+
 pub struct Api {
     pub store: Store,
     live: Live,
-    pub teams: Vec<Team>,
+    pub settings: ApiSettings,
     pub types: watch::Receiver<Types>,
     pub summary: watch::Receiver<Summary>,
     pub events: mpsc::Sender<Event>,
@@ -58,11 +68,14 @@
 }
 
 /// Why a request gets no answer of its own.
-enum Refusal {
+pub(crate) enum Refusal {
     Malformed(String),
     Never(String),
     /// Not now; nothing was decided.
     Later(String),
+    /// As things stand it can't be done.
+    Conflict(String),
+    NotFound(String),
     NoSuchJob,
 }
 
@@ -72,7 +85,7 @@
     }
 }
 
-fn json(status: StatusCode, body: &impl serde::Serialize) -> Response {
+pub(crate) fn json(status: StatusCode, body: &impl serde::Serialize) -> Response {
     match serde_json::to_vec(body) {
         Ok(bytes) => Response::builder().status(status).content_type("application/json").body(bytes),
         Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into(),
@@ -88,6 +101,8 @@
         match refusal {
             Refusal::Malformed(why) => error(StatusCode::BAD_REQUEST, &why),
             Refusal::Never(why) => error(StatusCode::UNPROCESSABLE_ENTITY, &why),
+            Refusal::Conflict(why) => error(StatusCode::CONFLICT, &why),
+            Refusal::NotFound(why) => error(StatusCode::NOT_FOUND, &why),
             Refusal::NoSuchJob => error(StatusCode::NOT_FOUND, "no such job"),
             Refusal::Later(why) => {
                 debug!(why, "told to come back");
@@ -109,7 +124,7 @@
 impl Api {
     pub fn new(
         store: Store,
-        teams: Vec<Team>,
+        settings: ApiSettings,
         types: watch::Receiver<Types>,
         summary: watch::Receiver<Summary>,
         events: mpsc::Sender<Event>,
@@ -119,7 +134,7 @@
         Api {
             live: Live::start(store.clone(), room.polls + room.changes, events.clone()),
             store,
-            teams,
+            settings,
             types,
             summary,
             events,
@@ -140,8 +155,13 @@
         turns.try_acquire().map_err(|_| Refusal::Later("too many requests at once".into()))
     }
 
+    /// A turn among those that change something.
+    pub(crate) fn admit_change(&self) -> Result<SemaphorePermit<'_>, Refusal> {
+        self.admit(&self.changes)
+    }
+
     /// A request to the state service for one user alone, within the node's share of its limit.
-    fn may_ask(&self, writes: u32) -> Result<(), Refusal> {
+    pub(crate) fn may_ask(&self, writes: u32) -> Result<(), Refusal> {
         let busy = || Refusal::Later("too many requests to the state service".into());
         self.store.user_may_ask(writes).then_some(()).ok_or_else(busy)
     }
@@ -209,7 +229,7 @@
 
     /// Why the job can never run; None when it can; an error when that can't be told yet.
     fn never(&self, job: &JobSpec) -> Result<Option<String>, Refusal> {
-        let Some(team) = self.teams.iter().find(|t| t.name == job.team) else {
+        let Some(team) = self.settings.teams.iter().find(|t| t.name == job.team) else {
             return Ok(Some(format!("unknown team {}", job.team)));
         };
         let count = if job.kind == Kind::Array { 1 } else { i64::from(job.tasks) };
@@ -229,7 +249,7 @@
         let bytes = read_body(body).await?;
         let submission: Submission = protocol::parse(&bytes).map_err(Refusal::Malformed)?;
         let job = submission.check().map_err(Refusal::Malformed)?;
-        let _turn = self.admit(&self.changes)?;
+        let _turn = self.admit_change()?;
         let never = match self.never(&job) {
             Ok(None) => None,
             // What is known already stays known, whatever the types and teams say today.
@@ -279,7 +299,7 @@
         if let Some(state) = self.remembered(job_id) {
             return Ok(json(StatusCode::OK, &state));
         }
-        let _turn = self.admit(&self.changes)?;
+        let _turn = self.admit_change()?;
         self.may_ask(2)?;
         let (live, over) = (store::live(job_id), store::over(job_id));
         let Some((value, version)) = self.store.get(&live, limits::POLL_TIMEOUT).await? else {
@@ -368,6 +388,38 @@
     Refusal::Later("too many events at once".into()).into()
 }
 
+#[handler]
+async fn post_drain(Data(api): Shared<'_>, body: Body) -> Response {
+    let started = match read_body(body).await {
+        Ok(bytes) => api.start_drain(&bytes).await,
+        Err(refusal) => Err(refusal),
+    };
+    answer(started)
+}
+
+#[handler]
+async fn get_drains(Data(api): Shared<'_>) -> Response {
+    answer(api.list_drains().await)
+}
+
+#[handler]
+async fn get_drain(Data(api): Shared<'_>, Path(drain_id): Path<String>) -> Response {
+    answer(api.show_drain(&drain_id).await)
+}
+
+#[handler]
+async fn post_drain_action(
+    Data(api): Shared<'_>,
+    Path((drain_id, action)): Path<(String, String)>,
+) -> Response {
+    answer(api.change_drain(&drain_id, &action).await)
+}
+
+#[handler]
+async fn get_drain_budgets(Data(api): Shared<'_>) -> Response {
+    answer(api.list_budgets().await)
+}
+
 #[handler]
 fn get_health(Data(api): Shared<'_>) -> Response {
     if api.health.healthy.load(Ordering::Relaxed) {
@@ -385,6 +437,10 @@
         .at("/checkin", post(post_checkin))
         .at("/healthz", get(get_health))
         .at("/overview", get(get_overview))
+        .at("/drains", get(get_drains).post(post_drain))
+        .at("/drains/:drain_id", get(get_drain))
+        .at("/drains/:drain_id/:action", post(post_drain_action))
+        .at("/drain-budgets", get(get_drain_budgets))
         .data(api)
         .catch_all_error(|e: poem::Error| async move {
             error(e.status(), e.status().canonical_reason().unwrap_or("error"))
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,5 +1,6 @@
-//! The command line. Subcommands leave room for a client beside the daemon.
+//! The command line: the daemon, and the operators' client beside it.
 
+use crate::client::{self, DrainCommand};
 use crate::settings::{Operator, Settings, SettingsError};
 use clap::{Parser, Subcommand};
 use std::ffi::OsString;
@@ -25,11 +26,16 @@
         #[arg(long, value_name = "FILE")]
         config: PathBuf,
     },
+    /// Empty machines in steps, within the budgets that teams have agreed to
+    #[command(subcommand)]
+    Drain(DrainCommand),
 }
 
 fn load(config: PathBuf, operator: Option<PathBuf>) -> Result<(Settings, Operator), SettingsError> {
     let settings = Settings::load(&config)?;
-    let operator = operator.map(|file| Operator::load(&file)).transpose()?.unwrap_or_default();
+    let Some(file) = operator else { return Ok((settings, Operator::default())) };
+    let operator = Operator::load(&file)?;
+    operator.check_against(&settings, &file)?;
     Ok((settings, operator))
 }
 
@@ -57,7 +63,10 @@
             return ExitCode::from(error.exit_code().clamp(0, 255) as u8);
         }
     };
-    let Command::Serve { operator, config } = arguments.command;
+    let (operator, config) = match arguments.command {
+        Command::Serve { operator, config } => (operator, config),
+        Command::Drain(command) => return client::run(command),
+    };
     let (settings, operator) = match load(config, operator) {
         Ok(loaded) => loaded,
         Err(error) => {
--- /dev/null
+++ b/src/client/render.rs
@@ -0,0 +1,152 @@
+//! Drains as text for people.
+
+use crate::drains::view::{DrainList, DrainView, TeamList};
+use dockpier_drain::progress::{MachineEntry, MachineState};
+use dockpier_drain::request::{DrainRequest, Target};
+use dockpier_drain::status::DrainState;
+use std::fmt::Write;
+use std::time::{Duration, UNIX_EPOCH};
+
+/// Every drain in a line.
+pub fn list(list: &DrainList) -> String {
+    let mut text = String::new();
+    for view in &list.drains {
+        let counts = view.counts();
+        let all = counts.waiting + counts.replacing + counts.cordoned + counts.returned + counts.gone;
+        let done = counts.returned + counts.gone;
+        let first = view.waits_for.first().map(|wait| format!("; {wait}")).unwrap_or_default();
+        let id = &view.stored.request.id;
+        // Writing to a string never fails.
+        let _ = writeln!(text, "{id}  {}  {done} of {all} machines{first}", state(view));
+    }
+    if list.unreadable > 0 {
+        let _ = writeln!(text, "{} records can't be read", list.unreadable);
+    }
+    if text.is_empty() {
+        text.push_str("no drains\n");
+    }
+    text
+}
+
+/// One drain with all that is known of it.
+pub fn drain(view: &DrainView) -> String {
+    let (request, counts) = (&view.stored.request, view.counts());
+    let mut text = String::new();
+    let mut line = |name: &str, value: String| {
+        let _ = writeln!(text, "{name:<12} {value}");
+    };
+    line("drain", request.id.to_string());
+    line("state", state(view).to_string());
+    line("machines", target(request));
+    line("reason", request.reason.clone());
+    line("accepted", time(view.stored.accepted));
+    if let Some(deadline) = request.deadline {
+        line("deadline", time((deadline * 1_000.0) as u64));
+    }
+    match &view.summary {
+        None => line("progress", "no leader has taken it up yet".into()),
+        Some(summary) => {
+            line(
+                "progress",
+                format!(
+                    "{} waiting, {} being replaced, {} being emptied, {} returned ({} replaced), {} gone",
+                    counts.waiting,
+                    counts.replacing,
+                    counts.cordoned,
+                    counts.returned,
+                    counts.replaced,
+                    counts.gone
+                ),
+            );
+            view.waits_for.iter().for_each(|wait| line("waits for", wait.clone()));
+            if summary.never {
+                line("", "as things stand it can never finish: that is more than a whole budget".into());
+            }
+            if summary.late {
+                line("", "it will not be done by its deadline".into());
+            }
+            if let Some(estimate) = summary.estimate {
+                line("done about", time(estimate));
+            }
+            line("as of", time(summary.updated));
+        }
+    }
+    view.machines.iter().for_each(|entry| line("", machine(entry)));
+    text
+}
+
+/// Each team's budget in a line.
+pub fn budgets(teams: &TeamList) -> String {
+    let mut text = String::new();
+    for view in &teams.teams {
+        let (budget, totals, left) = (&view.budget, &view.totals, &view.left);
+        let _ = writeln!(
+            text,
+            "{}: {} tasks at once, {:.1} replica-s and {:.1} work-s in {:.0} s; left {} tasks, {:.1} replica-s, {:.1} \
+             work-s; planned {:.1} and {:.1}, observed {:.1} and {:.1}, unplanned {:.1} and {:.1}, reserved {:.1} and \
+             {:.1}",
+            view.team,
+            budget.tasks,
+            budget.cost.replica_s,
+            budget.cost.work_s,
+            budget.window_s,
+            left.tasks,
+            left.cost.replica_s,
+            left.cost.work_s,
+            totals.planned.replica_s,
+            totals.planned.work_s,
+            totals.observed.replica_s,
+            totals.observed.work_s,
+            totals.unplanned.replica_s,
+            totals.unplanned.work_s,
+            totals.reserved.replica_s,
+            totals.reserved.work_s
+        );
+    }
+    text
+}
+
+fn state(view: &DrainView) -> &'static str {
+    match view.state() {
+        DrainState::Running if !view.waits_for.is_empty() => "running, waits",
+        DrainState::Running => "running",
+        DrainState::Paused => "paused",
+        DrainState::Cancelled => "cancelled",
+        DrainState::Finished => "finished",
+    }
+}
+
+fn target(request: &DrainRequest) -> String {
+    let mut text = match &request.target {
+        Target::Machines(names) if names.len() == 1 => names[0].clone(),
+        Target::Machines(names) => format!("{} named ones", names.len()),
+        Target::Kind { machine_type, zone } => format!("all of type {machine_type} in zone {zone}"),
+        Target::All {} => "all".into(),
+    };
+    if let Some(share) = request.share {
+        let _ = write!(text, ", at most {:.0}% at a time", share * 100.0);
+    }
+    if request.replace {
+        text.push_str(", each replaced first");
+    }
+    text
+}
+
+fn machine(entry: &MachineEntry) -> String {
+    let state = match &entry.state {
+        MachineState::Waiting => "waiting".to_string(),
+        MachineState::Replacing { attempt, machine: None } => {
+            format!("rents a replacement (attempt {attempt})")
+        }
+        MachineState::Replacing { machine: Some(name), .. } => format!("waits for its replacement {name}"),
+        MachineState::Cordoned { .. } => "being emptied".to_string(),
+        MachineState::Returned { replacement: Some(name) } => format!("returned, replaced by {name}"),
+        MachineState::Returned { replacement: None } => "returned".to_string(),
+        MachineState::Gone => "gone before it was empty".to_string(),
+    };
+    format!("{}: {state}", entry.machine)
+}
+
+fn time(milliseconds: u64) -> String {
+    humantime::format_rfc3339_seconds(UNIX_EPOCH + Duration::from_millis(milliseconds)).to_string()
+}
--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -106,6 +106,7 @@
             price: entry.price,
             spot_price: entry.spot_price,
             boot_s: entry.boot_s,
+            fetch_gb_per_s: entry.fetch_gb_per_s,
             zones: entry.zones.clone(),
         })
         .collect()
--- a/src/controller/cloud_driver.rs
+++ b/src/controller/cloud_driver.rs
@@ -31,7 +31,7 @@
 }
 
 pub(super) enum CloudRequest {
-    Rent { request: u64, machine_type: String, zone: String, spot: bool, count: u32 },
+    Rent { request: u64, name: String, machine_type: String, zone: String, spot: bool, count: u32 },
     Delete(Vec<String>),
 }
 
@@ -108,14 +108,14 @@
         let Some(request) = waiting.remove(at) else { continue };
         let (cloud, events, gate) = (cloud.clone(), events.clone(), gate.clone());
         under_way.spawn(async move {
-            let command = ask_cloud(cloud, request, token, pace, gate).await;
+            let command = ask_cloud(cloud, request, pace, gate).await;
             let _ = events.send(Event::Core(token, command)).await;
         });
         tokio::time::sleep(pace).await;
     }
 }
 
-async fn ask_cloud(cloud: Cloud, request: CloudRequest, token: u64, pace: Duration, gate: Gate) -> Command {
+async fn ask_cloud(cloud: Cloud, request: CloudRequest, pace: Duration, gate: Gate) -> Command {
     match request {
         // Not sent: if this node leads still, it will ask again.
         CloudRequest::Delete(machines) if !gate.open() => {
@@ -128,16 +128,9 @@
             let outcome = cloud.delete(&machines).await;
             Command::Deleted { machines, outcome }
         }
-        CloudRequest::Rent { request, machine_type, zone, spot, count } => {
-            // The token makes the name unique among all leaders there will ever be.
-            let request_id = format!("r-{token}-{request}");
-            let rental = RentalRequest {
-                request_id: &request_id,
-                machine_type: &machine_type,
-                zone: &zone,
-                spot,
-                count,
-            };
+        CloudRequest::Rent { request, name, machine_type, zone, spot, count } => {
+            let rental =
+                RentalRequest { request_id: &name, machine_type: &machine_type, zone: &zone, spot, count };
             let mut answer = cloud.rent(&rental).await;
             for _ in 0..2 {
                 if answer.0 == Outcome::Unknown && gate.open() {
--- /dev/null
+++ b/src/controller/drain_records.rs
@@ -0,0 +1,66 @@
+//! The leader's drains in the state service: read when it begins, followed from then on, written as the core decides.
+
+use super::effects::outcome_of;
+use super::live_jobs::pause;
+use super::{Controller, Event};
+use crate::core::drains::{DrainKey, DrainValue};
+use crate::core::Command;
+use crate::drains::records;
+use crate::limits;
+use crate::store::{self, Store};
+use tokio::sync::mpsc;
+use tracing::{debug, warn};
+
+impl Controller {
+    /// Stores a record of a drain, under the version that is known of it.
+    pub(super) fn write_drain(&self, key: DrainKey, value: DrainValue) {
+        let (store, versions, leads) = (self.store.clone(), self.versions.clone(), self.while_leading());
+        self.ask(async move {
+            let changes = store::write(&records::key_of(&key), value).into_iter().collect();
+            let outcome = outcome_of(versions.commit(&store, vec![leads], changes).await).await;
+            Command::DrainWritten { key, outcome }
+        });
+    }
+}
+
+/// Tells the core of this token what operators ask for, whenever that changes.
+pub(super) async fn follow_drains(store: Store, events: mpsc::Sender<Event>, token: u64) {
+    let mut revision = 0;
+    loop {
+        match records::load_requests(&store).await {
+            Ok((requests, read)) => {
+                revision = read.max(revision);
+                let command = Command::DrainRequests(requests);
+                if events.send(Event::Core(token, command)).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                warn!(%error, "cannot read drains");
+                pause().await;
+                continue;
+            }
+        }
+        revision = wait_for_change(&store, revision).await;
+    }
+}
+
+/// Returns once some request may have changed, with the revision up to which nothing else has.
+async fn wait_for_change(store: &Store, mut revision: u64) -> u64 {
+    loop {
+        match store.follow(records::REQUESTS, revision, limits::WATCH_MS).await {
+            Ok(Some(log)) => {
+                revision = revision.max(log.revision);
+                if !log.events.is_empty() {
+                    return revision;
+                }
+            }
+            // Too old to follow from: read again.
+            Ok(None) => return revision,
+            Err(error) => {
+                debug!(%error, "following drains");
+                pause().await;
+            }
+        }
+    }
+}
--- a/src/controller/effects.rs
+++ b/src/controller/effects.rs
@@ -23,7 +23,7 @@
 
 impl Controller {
     /// Runs something for the core of the present token and hands it the outcome.
-    fn ask<F>(&self, future: F)
+    pub(super) fn ask<F>(&self, future: F)
     where
         F: std::future::Future<Output = Command> + Send + 'static,
     {
@@ -48,9 +48,12 @@
             }
             Effect::Finish { job_id, version, tasks, chunks } => self.finish(job_id, version, tasks, chunks),
             Effect::Record { key, machines } => self.record(key, machines),
-            Effect::Rent { request, machine_type, zone, spot, count } => {
-                self.cloud_request(CloudRequest::Rent { request, machine_type, zone, spot, count });
+            Effect::Rent { request, name, machine_type, zone, spot, count } => {
+                // The token makes the name unique among all leaders there will ever be.
+                let name = name.unwrap_or_else(|| format!("r-{}-{request}", self.config.token));
+                self.cloud_request(CloudRequest::Rent { request, name, machine_type, zone, spot, count });
             }
+            Effect::WriteDrain { key, value } => self.write_drain(key, value),
             Effect::Delete(names) => self.cloud_request(CloudRequest::Delete(names)),
             Effect::Deposed(token) => {
                 let actions = self.leadership.seen_token(token, self.clock.now());
@@ -60,7 +63,7 @@
     }
 
     /// Every transaction of a leader rests on its epoch.
-    fn while_leading(&self) -> Condition {
+    pub(super) fn while_leading(&self) -> Condition {
         store::compare(store::EPOCH, self.version)
     }
 
@@ -144,7 +147,7 @@
 
 /// What the core needs to know of a transaction. A failed one is reported after a pause, so that a
 /// service in trouble is not asked hot and an outage ends without a stampede.
-async fn outcome_of(committed: Committed) -> Outcome {
+pub(super) async fn outcome_of(committed: Committed) -> Outcome {
     if !matches!(committed, Committed::Done { .. }) {
         let pause = limits::STATE_PAUSE_MS;
         let pause = pause + rand::random_range(0..=pause);
--- a/src/controller/leading.rs
+++ b/src/controller/leading.rs
@@ -3,6 +3,7 @@
 
 use super::checkins::{CheckinReply, ReplyTo};
 use super::cloud_driver::{drive_cloud, list_machines};
+use super::drain_records::follow_drains;
 use super::live_jobs::follow_jobs;
 use super::{Controller, Event};
 use crate::core::{Command, Core};
@@ -100,6 +101,7 @@
         let events = self.events.clone();
         let rps = self.settings.deployment.cloud.rps;
         let cloud_limits = self.settings.deployment.cloud.clone();
+        let draining = self.config.operator.draining.enabled;
         self.leading = vec![
             tokio::spawn(follow_jobs(
                 self.store.clone(),
@@ -107,10 +109,14 @@
                 token,
                 version,
                 self.versions.clone(),
+                draining.then(|| self.config.teams.clone()),
             )),
             tokio::spawn(drive_cloud(self.cloud.clone(), events.clone(), queue, token, rps, self.gate())),
-            tokio::spawn(list_machines(self.cloud.clone(), events, token, cloud_limits)),
+            tokio::spawn(list_machines(self.cloud.clone(), events.clone(), token, cloud_limits)),
         ];
+        if draining {
+            self.leading.push(tokio::spawn(follow_drains(self.store.clone(), events, token)));
+        }
     }
 
     fn deposed(&mut self) {
--- a/src/controller/live_jobs.rs
+++ b/src/controller/live_jobs.rs
@@ -5,11 +5,13 @@
 use super::Event;
 use crate::core::model::JobId;
 use crate::core::{Command, StoredJob, StoredMachine};
+use crate::drains;
 use crate::http::wall_ms;
 use crate::limits;
 use crate::protocol::records::{LiveRecord, MachineRecord};
 use crate::protocol::state_service::{ChangeEvent, Record};
 use crate::record_versions::RecordVersions;
+use crate::settings::Team;
 use crate::store::{self, Store};
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -82,21 +84,23 @@
     Ok(Loaded { jobs: jobs.into_values().collect(), records, orphans, revision })
 }
 
-async fn pause() {
+pub(super) async fn pause() {
     let pause = limits::STATE_PAUSE_MS;
     tokio::time::sleep(Duration::from_millis(rand::random_range(pause..=2 * pause))).await;
 }
 
-/// Loads the jobs and follows what users commit through any node.
+/// Loads the jobs and follows what users commit through any node. `drains_of`: drains are loaded first, with the
+/// ledgers of these teams.
 pub(super) async fn follow_jobs(
     store: Store,
     events: mpsc::Sender<Event>,
     token: u64,
     epoch: u64,
     versions: RecordVersions,
+    drains_of: Option<Vec<Team>>,
 ) {
     let mut follower = Follower { store, events, token, known: BTreeSet::new() };
-    let mut revision = follower.load(epoch, &versions).await;
+    let mut revision = follower.load(epoch, &versions, drains_of.as_deref()).await;
     loop {
         match follower.store.follow(store::LIVE, revision, limits::WATCH_MS).await {
             Ok(Some(log)) => {
@@ -133,8 +137,13 @@
     }
 
     /// Reads everything, as often as it takes; returns the revision to follow from.
-    async fn load(&mut self, epoch: u64, versions: &RecordVersions) -> u64 {
+    async fn load(&mut self, epoch: u64, versions: &RecordVersions, drains_of: Option<&[Team]>) -> u64 {
         loop {
+            if let Err(error) = self.load_drains(versions, drains_of).await {
+                warn!(%error, "cannot load drains yet");
+                pause().await;
+                continue;
+            }
             match load(&self.store, versions).await {
                 Ok(Loaded { jobs, records, orphans, revision }) => {
                     self.known.extend(jobs.iter().map(|job| job.spec.job_id));
@@ -150,6 +159,18 @@
         }
     }
 
+    /// Before the jobs, so that a machine that is being drained gets no work in between.
+    async fn load_drains(
+        &self,
+        versions: &RecordVersions,
+        drains_of: Option<&[Team]>,
+    ) -> Result<(), store::StoreError> {
+        let Some(teams) = drains_of else { return Ok(()) };
+        let stored = drains::records::load(&self.store, versions, teams).await?;
+        self.send(Command::LoadDrains(stored)).await;
+        Ok(())
+    }
+
     /// The log does not go back far enough: reads the live jobs again.
     async fn read_again(&mut self) -> Option<u64> {
         let (records, revision) = self.store.list(store::LIVE).await.ok()?;
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -3,6 +3,7 @@
 
 mod checkins;
 mod cloud_driver;
+mod drain_records;
 mod effects;
 mod finished_tasks;
 mod health;
@@ -19,7 +20,7 @@
 use crate::core::model::JobId;
 use crate::core::overview::{Overview, PageStart};
 use crate::core::{Command, Config, Core};
-use crate::http::{Clock, Http};
+use crate::http::{wall_ms, Clock, Http};
 use crate::leadership::{Leadership, StoreAnswer};
 use crate::limits;
 use crate::live::Reading;
@@ -237,6 +238,7 @@
         let Some(core) = &mut self.core else { return };
         core.kept_alive_until(self.leadership.autonomous_until(now));
         core.out_of_touch(now, self.leadership.out_of_touch(now));
+        core.time_of_day(now, wall_ms());
         let effects = core.step(now, commands);
         if now >= self.summary_due {
             self.summary_due = now + limits::SECOND;
--- a/src/controller/start.rs
+++ b/src/controller/start.rs
@@ -2,7 +2,7 @@
 
 use super::cloud_driver::keep_catalog;
 use super::{Controller, Event};
-use crate::api::{self, Api, Health, Summary, Types};
+use crate::api::{self, Api, ApiSettings, Health, Summary, Types};
 use crate::blocks::Block;
 use crate::cloud::Cloud;
 use crate::core::Config;
@@ -91,7 +91,11 @@
 
     let api = Arc::new(Api::new(
         store.clone(),
-        deployment.teams.clone(),
+        ApiSettings {
+            teams: deployment.teams.clone(),
+            zones: deployment.zones.clone(),
+            draining: operator.draining.clone(),
+        },
         types,
         summary,
         events.clone(),
@@ -124,6 +128,7 @@
             cpu_share: deployment.resources.cpu,
             write_rps: deployment.state.write_rps,
             record_machines: limits::record_machines(deployment.state.value_kb),
+            value_most: limits::value_bytes(deployment.state.value_kb),
             rentals_at_once: limits::rentals_at_once(deployment.cloud.rps),
             block_lease: match settings.members.len() {
                 0 => 0,
--- /dev/null
+++ b/src/core/drains/holds.rs
@@ -0,0 +1,99 @@
+//! Places kept for replicas that move: a replica is stopped only once its next place is there, and nobody else gets
+//! that place meanwhile.
+
+use super::super::elastic::FreeCapacity;
+use super::super::model::{JobId, Machine, Resources, TaskId};
+use super::super::place::{self, ZoneCount};
+use super::super::Core;
+use crate::limits;
+use std::collections::BTreeMap;
+
+/// Room on machines that is kept for replicas on their way there.
+#[derive(Default)]
+pub(super) struct KeptRooms(BTreeMap<String, Resources>);
+
+impl KeptRooms {
+    /// Free room beyond what is kept.
+    pub(super) fn free(&self, machine: &Machine) -> Resources {
+        let kept = self.0.get(&machine.name).copied().unwrap_or_default();
+        machine.free().minus(&kept)
+    }
+}
+
+impl Core {
+    /// What replicas that move, or are about to, need where they go.
+    pub(super) fn kept_rooms(&self) -> KeptRooms {
+        let mut kept: BTreeMap<String, Resources> = BTreeMap::new();
+        let pending = self.drains.teams.values().flat_map(|team| team.pending.iter().chain(&team.in_write));
+        let pending = pending.filter_map(|stop| Some((&stop.task, stop.to.as_ref()?)));
+        let moves = self.drains.moves.iter().map(|(id, to)| (id, &to.to));
+        for (id, to) in moves.chain(pending) {
+            let Some(job) = self.jobs.get(&id.job_id) else { continue };
+            let room = kept.entry(to.clone()).or_default();
+            *room = room.plus(&job.spec.needs);
+        }
+        KeptRooms(kept)
+    }
+
+    /// Places of critical services in each zone beyond those that are reserved.
+    pub(super) fn spare_places(&self, kept: &KeptRooms) -> BTreeMap<String, i64> {
+        let Some(shape) = self.critical_shape() else { return BTreeMap::new() };
+        let reserved = self.reserve_places();
+        let mut spare: BTreeMap<String, i64> =
+            self.config.zones.iter().map(|zone| (zone.clone(), -reserved)).collect();
+        for machine in self.machines.values().filter(|m| !m.spot && self.usable(m)) {
+            let places = shape.count_in(&kept.free(machine)).max(0);
+            *spare.entry(machine.zone.clone()).or_default() += places;
+        }
+        spare
+    }
+
+    /// The round's free room less what is kept.
+    pub(in super::super) fn keep_places(&self, capacity: &mut FreeCapacity) {
+        let kept = self.kept_rooms();
+        for machine in kept.0.keys().filter_map(|name| self.machines.get(name)) {
+            capacity.limit(machine, kept.free(machine));
+        }
+    }
+
+    /// Replicas that have ended on the machine that they leave start on the place that was kept.
+    pub(in super::super) fn place_moved(&mut self, capacity: &mut FreeCapacity) {
+        let patience = limits::DRAIN_MOVE_PATIENCE;
+        let moves: Vec<(TaskId, String, u64)> =
+            self.drains.moves.iter().map(|(id, to)| (*id, to.to.clone(), to.since)).collect();
+        for (id, to, since) in moves {
+            let Some(job) = self.jobs.get(&id.job_id).filter(|job| !job.over) else {
+                self.drains.moves.remove(&id);
+                continue;
+            };
+            if !job.waiting.contains(&id.task) {
+                // It has not ended yet, or has been placed already.
+                if self.now >= since + patience || !self.drains.disrupted.contains_key(&id) {
+                    self.drains.moves.remove(&id);
+                }
+                continue;
+            }
+            // From here on it is placed by the ordinary pass where its place is gone.
+            self.drains.moves.remove(&id);
+            let kept = self.kept_rooms();
+            if self.may_start_on(id.job_id, &to, &kept) && self.team_room(job, &capacity.teams) > 0 {
+                if let Some(machine) = self.machines.get(&to) {
+                    capacity.limit(machine, kept.free(machine));
+                }
+                let attempt = self.next_attempt();
+                self.assign(id.job_id, &to, attempt, capacity);
+            }
+        }
+    }
+
+    fn may_start_on(&self, job_id: JobId, name: &str, kept: &KeptRooms) -> bool {
+        let Some(job) = self.jobs.get(&job_id) else { return false };
+        let Some(machine) = self.machines.get(name) else { return false };
+        self.usable(machine)
+            && place::allowed(job, machine)
+            && ZoneCount::of(job, &self.machines).allows(job, &machine.zone)
+            && job.spec.needs.fits(&kept.free(machine))
+            && job.paused_until <= self.now
+            && (!job.inherited || self.reconciled_for(job))
+    }
+}
--- a/src/core/elastic.rs
+++ b/src/core/elastic.rs
@@ -45,6 +45,13 @@
         *free = free.minus(needs);
     }
 
+    /// Only so much of a machine's room is free to everybody.
+    pub(super) fn limit(&mut self, machine: &Machine, room: Resources) {
+        if let Some(free) = self.free.get_mut(&machine.name) {
+            *free = room;
+        }
+    }
+
     /// The room there will be once every stop under way is confirmed.
     fn soon(&self, machines: &BTreeMap<String, Machine>) -> FreeCapacity {
         let mut soon = self.clone();
@@ -192,6 +199,8 @@
         let order = self.order();
         let mut steps = 0;
         let mut capacity = self.capacity(&order, &mut steps);
+        self.keep_places(&mut capacity);
+        self.place_moved(&mut capacity);
         // The look at every machine is the fixed price of a round; the budget is for the jobs.
         let jobs = limits::ROUND_JOBS * self.machines.len();
         let budget = steps + self.config.round_steps.max(jobs);
@@ -337,12 +346,15 @@
             if !place::allowed(job, machine)
                 || failed_here
                 || machine.surplus && job.spec.spot
+                || job.spec.priority != Priority::Critical && self.drains.is_kept(name)
                 || machine.slow_until > self.now && job.spec.kind != Kind::Service
                 || pinned.as_ref().is_some_and(|z| *z != machine.zone)
             {
                 continue;
             }
             let (mut base, emptiness) = place::cost(job, machine, free, capacity.fixed_work);
+            // It would have to leave again.
+            base[2] += i64::from(self.drains.is_targeted(name));
             // All of a gang wait for the last of them: machines whose next report is due come first.
             if job.spec.kind == Kind::Gang {
                 base[2] += 2 * self.report_due_s(machine);
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -73,7 +73,8 @@
                 continue;
             }
             let wait = if machine.spot { operator.idle_spot_s } else { operator.idle_s };
-            let idle = now >= machine.idle_since + limits::micros(wait) && !kept.contains(&machine.name);
+            let needed = kept.contains(&machine.name) || self.drains.is_kept(&machine.name);
+            let idle = now >= machine.idle_since + limits::micros(wait) && !needed;
             if idle || machine.draining {
                 back.push(machine.name.clone());
             }
@@ -96,7 +97,7 @@
         self.delete(back, "lost, silent, deaf or never up");
     }
 
-    fn delete(&mut self, names: Vec<String>, why: &str) {
+    pub(super) fn delete(&mut self, names: Vec<String>, why: &str) {
         for chunk in names.chunks(limits::DELETE_MOST) {
             for name in chunk {
                 if let Some(machine) = self.machines.get_mut(name) {
@@ -127,6 +128,9 @@
     }
 
     pub fn rented(&mut self, request: u64, machines: Option<Vec<String>>, outcome: Outcome) {
+        if self.replacement_rented(request, &machines, outcome) {
+            return;
+        }
         let Some((offer, count)) = self.fleet.renting.remove(&request) else { return };
         let names = machines.unwrap_or_default();
         if outcome == Outcome::Refused || (names.len() as u32) < count {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -2,6 +2,7 @@
 //! Pure: no I/O, no clock, no globals; the random numbers are seeded.
 
 pub mod consolidate;
+pub mod drains;
 pub mod elastic;
 pub mod failure_detection;
 pub mod faults;
@@ -17,6 +18,8 @@
 
 use crate::limits;
 use crate::settings::{Operator, Team, Workers};
+use dockpier_drain::request::StoredRequest;
+use drains::{DrainKey, DrainValue, Drains, LoadedDrains};
 use fleet::Fleet;
 use model::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -37,6 +40,8 @@
     pub write_rps: f64,
     /// Machines that fit into one record.
     pub record_machines: usize,
+    /// Bytes that a value of the state service may have.
+    pub value_most: usize,
     /// Rental requests under way at once.
     pub rentals_at_once: usize,
     /// For how long a lessee may go on by itself, in microseconds; 0: there are no others.
@@ -143,6 +148,14 @@
         outcome: Outcome,
     },
     Listed(Vec<ListedMachine>),
+    /// What the state service held of drains when this leader took over; comes before `Load`.
+    LoadDrains(LoadedDrains),
+    /// What operators ask for now.
+    DrainRequests(Vec<StoredRequest>),
+    DrainWritten {
+        key: DrainKey,
+        outcome: Outcome,
+    },
 }
 
 /// What a worker is told.
@@ -193,12 +206,19 @@
     },
     Rent {
         request: u64,
+        /// The rental's name, where it must be the same whoever leads.
+        name: Option<String>,
         machine_type: String,
         zone: String,
         spot: bool,
         count: u32,
     },
     Delete(Vec<String>),
+    /// A record of a drain is to be stored.
+    WriteDrain {
+        key: DrainKey,
+        value: DrainValue,
+    },
     /// A worker has seen a higher token: somebody else leads.
     Deposed(u64),
 }
@@ -221,6 +241,7 @@
     pub machines: BTreeMap<String, Machine>,
     pub types: BTreeMap<String, MachineType>,
     pub fleet: Fleet,
+    drains: Drains,
     ledger: overview::Ledger,
     records: records::Records,
     writes: records::WriteBudget,
@@ -267,6 +288,7 @@
             machines: BTreeMap::new(),
             types: BTreeMap::new(),
             fleet: Fleet::new(now),
+            drains: Drains::default(),
             ledger: overview::Ledger::default(),
             cursor: None,
             round_due: 0,
@@ -311,6 +333,7 @@
         if self.loaded {
             self.write_due();
             self.fleet_round();
+            self.drain_round();
             self.direct_stops();
         }
         // A report with news waits for the round, which is never far.
@@ -370,6 +393,9 @@
             Command::Rented { request, machines, outcome } => self.rented(request, machines, outcome),
             Command::Deleted { machines, outcome } => self.deleted(machines, outcome),
             Command::Listed(list) => self.listed(list),
+            Command::LoadDrains(stored) => self.load_drains(stored),
+            Command::DrainRequests(requests) => self.take_drain_requests(requests),
+            Command::DrainWritten { key, outcome } => self.drain_written(&key, outcome),
         }
         self.news = true;
     }
@@ -517,6 +543,7 @@
 
     /// Everything on the machine is gone.
     fn clear_machine(&mut self, name: &str) {
+        self.note_lost_work(name);
         let Some(machine) = self.machines.get_mut(name) else { return };
         let tasks: Vec<_> = std::mem::take(&mut machine.tasks).into_keys().collect();
         machine.exited.clear();
@@ -532,6 +559,7 @@
             && machine.recorded
             && !machine.draining
             && !machine.deleting
+            && !self.drains.is_cordoned(&machine.name)
             && machine.recall_at.is_none()
             && machine.foreign.is_empty()
             && machine.no_room_until <= self.now
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -153,6 +153,8 @@
     pub price: f64,
     pub spot_price: Option<f64>,
     pub boot_s: f64,
+    /// Rate at which images are fetched, in GB a second; 0: not known.
+    pub fetch_gb_per_s: f64,
     pub zones: Vec<String>,
 }
 
--- a/src/core/overview.rs
+++ b/src/core/overview.rs
@@ -84,20 +84,6 @@
     }
 }
 
-impl MachineLine {
-    fn of(machine: &Machine) -> Self {
-        MachineLine {
-            machine: machine.name.clone(),
-            machine_type: machine.machine_type.clone(),
-            zone: machine.zone.clone(),
-            spot: machine.spot,
-            phase: format!("{:?}", machine.phase).to_lowercase(),
-            tasks: machine.tasks.len(),
-            leaving: machine.draining || machine.deleting || machine.recall_at.is_some(),
-        }
-    }
-}
-
 impl Core {
     /// Keeps a decision for the overview; the log has it too.
     pub(super) fn decided(&mut self, decision: String) {
@@ -119,12 +105,25 @@
         Overview {
             jobs: jobs.by_ref().take(limits::OVERVIEW_LINES).map(JobLine::of).collect(),
             more_jobs: jobs.count(),
-            machines: machines.by_ref().take(limits::OVERVIEW_LINES).map(MachineLine::of).collect(),
+            machines: machines.by_ref().take(limits::OVERVIEW_LINES).map(|m| self.machine_line(m)).collect(),
             more_machines: machines.count(),
             decisions: self.ledger.decisions.iter().cloned().collect(),
         }
     }
 
+    fn machine_line(&self, machine: &Machine) -> MachineLine {
+        let leaving = machine.draining || machine.deleting || machine.recall_at.is_some();
+        MachineLine {
+            machine: machine.name.clone(),
+            machine_type: machine.machine_type.clone(),
+            zone: machine.zone.clone(),
+            spot: machine.spot,
+            phase: format!("{:?}", machine.phase).to_lowercase(),
+            tasks: machine.tasks.len(),
+            leaving: leaving || self.drains.is_cordoned(&machine.name),
+        }
+    }
+
     /// Adds up what runs, and writes it to the log now and then: the sum of all `usage` lines of all
     /// nodes is what each job and team has used, changes of leader included.
     pub(super) fn account(&mut self) {
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -81,6 +81,7 @@
             teams: self.team_usage(),
         };
         let booting = self.machines.values().filter(|m| m.phase == Phase::Expected && !m.deleting);
+        let booting = booting.filter(|m| !self.drains.is_kept(&m.name));
         for machine in booting {
             let offer = (machine.machine_type.clone(), machine.zone.clone(), machine.spot);
             *plan.count.entry(offer).or_default() += 1;
@@ -138,7 +139,7 @@
         self.decided(format!("rent {count} {kind} {} in {}", offer.0, offer.1));
         self.fleet.renting.insert(request, (offer.clone(), count));
         let (machine_type, zone, spot) = offer.clone();
-        self.effects.push(Effect::Rent { request, machine_type, zone, spot, count });
+        self.effects.push(Effect::Rent { request, name: None, machine_type, zone, spot, count });
     }
 
     fn offers(
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -73,7 +73,7 @@
         self.at = now;
     }
 
-    fn take(&mut self, writes: f64) -> bool {
+    pub(super) fn take(&mut self, writes: f64) -> bool {
         let enough = self.left >= writes.min(self.most);
         if enough {
             self.left -= writes;
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -231,9 +231,14 @@
 pub const RECORD_IMAGES: usize = 120;
 pub const RECORD_MACHINE: usize = 180;
 
+/// Bytes of a value of the state service, a margin left.
+pub fn value_bytes(value_kb: f64) -> usize {
+    (value_kb * 1024.0 * 0.9) as usize
+}
+
 /// Machines in one record, so that it fits a value of the state service.
 pub fn record_machines(value_kb: f64) -> usize {
-    ((value_kb * 1024.0 * 0.9) as usize / (RECORD_IMAGES + RECORD_MACHINE)).max(1)
+    (value_bytes(value_kb) / (RECORD_IMAGES + RECORD_MACHINE)).max(1)
 }
 
 // ---- fleet ----
@@ -275,6 +280,35 @@
 /// Spot prices wander; the catalog is read again this often.
 pub const CATALOG_EVERY: Duration = Duration::from_secs(60);
 
+// ---- the operators' client ----
+
+/// A node that does not answer the client within this is left for the next.
+pub const CLIENT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Between two questions of the client.
+pub const CLIENT_PAUSE: Duration = Duration::from_millis(300);
+
+// ---- draining ----
+
+/// How often drains are looked at: stops and replacements take seconds each.
+pub const DRAIN_ROUND: u64 = 500_000;
+/// Time that the solver may take for one step, in seconds: it looks at 200 machines at most, and the answer in their
+/// order stands where it does not suffice.
+pub const DRAIN_SOLVER_S: f64 = 0.02;
+/// For each machine that may begin, so many are offered to the planner.
+pub const DRAIN_CANDIDATES: usize = 8;
+/// A ledger that nothing waits for is written this often, so that a new leader misses little.
+pub const DRAIN_LEDGER_EVERY: u64 = 10_000_000;
+/// What operators are told of a drain is written this often.
+pub const DRAIN_SUMMARY_EVERY: u64 = 2_000_000;
+/// A place is kept this long for a replica that has been told to stop: longer than a worker lease.
+pub const DRAIN_MOVE_PATIENCE: u64 = 60_000_000;
+/// Added to two reports for how long a moved replica is down: the round of decisions and the way to its worker.
+pub const MOVE_SLACK_S: f64 = 1.0;
+/// A fetch takes up to a third longer than its rate says, and two may share the rate.
+pub const FETCH_SLACK: f64 = 1.5;
+/// What a fetch is taken to last where the rate is not known.
+pub const FETCH_UNKNOWN_S: f64 = 60.0;
+
 // ---- operators ----
 
 /// Usage per job is written to the log this often.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,7 @@
-//! The platform's settings file (JSON) and the operators' own (S-expressions), both checked.
+//! The platform's settings file (JSON), checked.
 
 use crate::limits;
+pub use crate::operator::{Draining, Operator};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -143,7 +144,7 @@
     pub list_lag_s: f64,
 }
 
-fn read(file: &Path) -> Result<String, SettingsError> {
+pub(crate) fn read(file: &Path) -> Result<String, SettingsError> {
     std::fs::read_to_string(file).map_err(|source| SettingsError::Unreadable { file: file.into(), source })
 }
 
@@ -259,83 +260,6 @@
     }
 }
 
-/// What the operators set themselves; each key has a default. Seconds, tasks or shares as named.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Operator {
-    /// Least time between two changes of a job's width.
-    pub rescale_gap_s: f64,
-    /// Waiting time that lifts a job by one priority class.
-    pub aging_s: f64,
-    /// For how many critical services, each as wide as the widest there is, room is kept free.
-    pub reserve_services: u32,
-    /// An ordinary machine without tasks is returned after this.
-    pub idle_s: f64,
-    /// The same for a spot machine.
-    pub idle_spot_s: f64,
-    /// Work that may use spot machines has ordinary ones rented for it only after waiting this long
-    /// while every spot offer is refused: an ordinary machine costs several times as much.
-    pub spot_patience_s: f64,
-}
-
-impl Default for Operator {
-    fn default() -> Self {
-        Operator {
-            rescale_gap_s: 10.0,
-            aging_s: 300.0,
-            reserve_services: 1,
-            idle_s: 25.0,
-            idle_spot_s: 30.0,
-            spot_patience_s: 10.0,
-        }
-    }
-}
-
-impl Operator {
-    pub fn load(file: &Path) -> Result<Self, SettingsError> {
-        Self::parse(&read(file)?, file)
-    }
-
-    /// `((rescale-gap-s 10) (reserve-services 2))`: a list of keys with a number each.
-    pub fn parse(text: &str, file: &Path) -> Result<Self, SettingsError> {
-        let refuse = |line: usize, why: String| SettingsError::Line { file: file.into(), line, why };
-        let datum = lexpr::datum::from_str(text).map_err(|e| {
-            refuse(e.location().map_or(1, |l| l.line()), format!("not one S-expression: {e}"))
-        })?;
-        let mut operator = Operator::default();
-        let entries = datum.list_iter().ok_or_else(|| refuse(1, "expected a list of (key number)".into()))?;
-        for entry in entries {
-            let line = entry.span().start().line();
-            let parts: Vec<_> = entry.list_iter().map(|i| i.collect()).unwrap_or_default();
-            let (key, number) = match parts.as_slice() {
-                [key, number] => (key.value().as_symbol(), number.value().as_f64()),
-                _ => (None, None),
-            };
-            let (Some(key), Some(number)) = (key, number) else {
-                return Err(refuse(line, "expected (key number)".into()));
-            };
-            if !number.is_finite() || number < 0.0 {
-                return Err(refuse(line, format!("`{key}` must be 0 or more")));
-            }
-            match key {
-                "rescale-gap-s" => operator.rescale_gap_s = number,
-                "aging-s" if number > 0.0 => operator.aging_s = number,
-                "reserve-services" if number.fract() == 0.0 && number <= 1000.0 => {
-                    operator.reserve_services = number as u32
-                }
-                "idle-s" => operator.idle_s = number,
-                "idle-spot-s" => operator.idle_spot_s = number,
-                "spot-patience-s" => operator.spot_patience_s = number,
-                "aging-s" => return Err(refuse(line, "`aging-s` must be above 0".into())),
-                "reserve-services" => {
-                    return Err(refuse(line, "`reserve-services` must be a whole number up to 1000".into()))
-                }
-                _ => return Err(refuse(line, format!("unknown key `{key}`"))),
-            }
-        }
-        Ok(operator)
-    }
-}
-
 #[cfg(test)]
 #[path = "settings_tests.rs"]
 mod tests;
--- a/tests/clusters/cluster.rs
+++ b/tests/clusters/cluster.rs
@@ -48,6 +48,7 @@
         price: 1.0,
         spot_price: None,
         boot_s: 60.0,
+        fetch_gb_per_s: 1.0,
         zones: vec!["a".into()],
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -24,6 +24,7 @@
         cpu_share: 1.0,
         write_rps: 1000.0,
         record_machines: 3,
+        value_most: 4_096,
         rentals_at_once: 10,
         block_lease: 0,
     }
--- a/tests/core_rules.rs
+++ b/tests/core_rules.rs
@@ -5,10 +5,14 @@
 mod common;
 
 use dockpier::blocks::{Block, BlockHeartbeat};
+use dockpier::core::drains::LoadedDrains;
 use dockpier::core::model::*;
 use dockpier::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob, StoredMachine};
 use dockpier::limits::{self, SECOND};
-use dockpier::settings::{Team, Workers};
+use dockpier::settings::{Draining, Operator, Team, Workers};
+use dockpier_drain::budget::{Budget, Budgets, Cost, ANY_TEAM};
+use dockpier_drain::request::{DrainId, DrainRequest, StoredRequest, Target, Wish};
+use dockpier_virtual_fleet::Store;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
@@ -30,6 +34,8 @@
     services: bool,
     /// How long a write to the state service may take, in steps.
     write_steps: std::ops::Range<u64>,
+    /// Operators drain machines, pause and cancel drains.
+    drains: bool,
 }
 
 impl Deployment {
@@ -43,6 +49,7 @@
             mixed_priorities: false,
             services: true,
             write_steps: 1..3,
+            drains: false,
         }
     }
 
@@ -69,6 +76,11 @@
         Deployment { zones, services: false, ..Deployment::of_one_team(0.0) }
     }
 
+    /// One team that has agreed to be moved about.
+    fn with_drains() -> Self {
+        Deployment { drains: true, ..Deployment::of_one_team(0.0) }
+    }
+
     /// Machines are up within two seconds, and writes lag for up to four.
     fn of_quick_machines() -> Self {
         Deployment { boot_s: 0..2, write_steps: 1..40, ..Deployment::of_one_team(0.0) }
@@ -88,10 +100,21 @@
         teams: deployment.teams.clone(),
         zones: deployment.zones.clone(),
         block_lease: BLOCK_LEASE,
+        operator: Operator { draining: draining(deployment.drains), ..Operator::default() },
         ..common::config()
     }
 }
 
+fn draining(enabled: bool) -> Draining {
+    let mut budgets = Budgets::default();
+    let cost = Cost { replica_s: 10_000.0, work_s: 10_000.0 };
+    budgets.add(ANY_TEAM, Budget { tasks: 4, cost, window_s: 600.0 }).unwrap();
+    match enabled {
+        true => Draining::within(budgets, 3),
+        false => Draining::default(),
+    }
+}
+
 fn types(deployment: &Deployment) -> Vec<MachineType> {
     vec![MachineType {
         name: "m".into(),
@@ -99,6 +122,7 @@
         price: 4.0,
         spot_price: Some(1.0),
         boot_s: 5.0,
+        fetch_gb_per_s: 1.0,
         zones: deployment.zones.clone(),
     }]
 }
@@ -215,6 +239,9 @@
     machines_made: u64,
     starts: u64,
     finished: u64,
+    /// The records of drains, and the rentals that have a name of their own.
+    drains: Store,
+    rentals: BTreeMap<String, Vec<String>>,
 }
 
 impl World {
@@ -239,8 +266,11 @@
             recorded: BTreeMap::new(),
             later: vec![
                 (0, Command::Types(types(&deployment))),
+                (0, Command::LoadDrains(LoadedDrains::default())),
                 (0, Command::Load { jobs: vec![], records: vec![] }),
             ],
+            drains: Store::default(),
+            rentals: BTreeMap::new(),
             deployment,
             writes: Vec::new(),
             held: Vec::new(),
@@ -298,6 +328,7 @@
             .collect();
         let records = self.recorded.clone().into_iter().collect();
         self.later.push((self.now, Command::Types(types(&self.deployment))));
+        self.later.push((self.now, Command::LoadDrains(self.drains.loaded_drains())));
         self.later.push((self.now, Command::Load { jobs, records }));
         if self.rng.random_bool(0.5) {
             self.repeat_old_reports();
@@ -363,6 +394,7 @@
         self.run_gangs();
         self.run_workers(&mut batch);
         self.run_lessees(&mut batch);
+        self.core.time_of_day(self.now, self.now / 1_000);
         let effects = self.core.step(self.now, batch);
         for effect in effects {
             self.carry_out(effect);
@@ -624,7 +656,15 @@
                 let steps = self.rng.random_range(self.deployment.write_steps.clone());
                 self.writes.push((self.now + steps * STEP, key, machines));
             }
-            Effect::Rent { request, zone, spot, count, .. } => {
+            effect @ Effect::WriteDrain { .. } => {
+                let answer = self.drains.carry_out(effect);
+                self.later.extend(answer.map(|command| (soon, command)));
+            }
+            Effect::Rent { request, name: Some(name), .. } if self.rentals.contains_key(&name) => {
+                let machines = self.rentals.get(&name).cloned();
+                self.later.push((soon, Command::Rented { request, machines, outcome: Outcome::Done }));
+            }
+            Effect::Rent { request, name: rental, zone, spot, count, .. } => {
                 let left = self
                     .deployment
                     .machines
@@ -659,6 +699,9 @@
                     names.push(name);
                 }
                 let outcome = if names.is_empty() { Outcome::Refused } else { Outcome::Done };
+                if let Some(rental) = rental.filter(|_| outcome == Outcome::Done) {
+                    self.rentals.insert(rental, names.clone());
+                }
                 self.later.push((soon, Command::Rented { request, machines: Some(names), outcome }));
             }
             Effect::Delete(machines) if self.now < self.cloud_down_until => {
@@ -837,6 +880,35 @@
         }
     }
 
+    /// Operators drain some machines or all, pause, go on with or cancel a drain.
+    fn operate(&mut self) {
+        let number = self.drains.requests.len();
+        let all = self.rng.random_bool(0.3);
+        let names: Vec<String> = self.workers.keys().filter(|_| self.rng.random_bool(0.3)).cloned().collect();
+        if number == 0 || self.rng.random_bool(0.5) && !names.is_empty() {
+            let request = DrainRequest {
+                id: DrainId::try_from(format!("drain-{number}")).unwrap(),
+                target: if all { Target::All {} } else { Target::Machines(names) },
+                share: self.rng.random_bool(0.3).then_some(0.3),
+                reason: "drawn".into(),
+                deadline: self.rng.random_bool(0.3).then_some(1.0),
+                replace: self.rng.random_bool(0.5),
+            };
+            let stored = StoredRequest { request, accepted: self.now / 1_000, wish: Wish::Run };
+            self.drains.requests.insert(stored.request.id.clone(), stored);
+        } else {
+            let one = self.rng.random_range(0..number);
+            let wish = [Wish::Run, Wish::Run, Wish::Pause, Wish::Cancel][self.rng.random_range(0..4)];
+            let stored = self.drains.requests.values_mut().nth(one);
+            stored
+                .into_iter()
+                .filter(|stored| stored.wish != Wish::Cancel)
+                .for_each(|stored| stored.wish = wish);
+        }
+        let requests = self.drains.requests.values().cloned().collect();
+        self.later.push((self.now + STEP, Command::DrainRequests(requests)));
+    }
+
     /// Machines that have just come up, and have work, are cut off as the leader ends.
     fn end_leader_on_new_machines(&mut self, until: u64) {
         let works = |w: &Worker| w.tasks.values().any(|t| t.exited.is_none());
@@ -890,6 +962,9 @@
         if round < 45 && world.rng.random_bool(0.3) {
             world.trouble();
         }
+        if round < 45 && world.deployment.drains && world.rng.random_bool(0.3) {
+            world.operate();
+        }
         for _ in 0..world.rng.random_range(10..40) {
             world.step();
         }
@@ -907,6 +982,11 @@
     let stuck: Vec<_> = world.live.keys().filter_map(|u| world.core.jobs.get(u)).collect();
     assert!(world.live.is_empty(), "seed {seed}: never done: {stuck:#?} {}", world.core.fleet_line());
     assert!(world.answered_by_lessees > 20, "seed {seed}: {}", world.answered_by_lessees);
+    if world.deployment.drains {
+        let parts = world.drains.progress.values().flat_map(|parts| parts.values());
+        let ended = parts.flat_map(|part| &part.machines).filter(|entry| entry.state.is_final()).count();
+        assert!(ended > 0, "seed {seed}: no machine was drained");
+    }
     let broken = world.gangs.len() as u64 - world.gangs_done;
     [world.starts, world.finished, world.gangs_done, broken, world.orders_of_former_leaders]
 }
@@ -930,6 +1010,12 @@
     play_all(0..40, Deployment::of_one_team(0.0));
 }
 
+/// Whatever operators drain, pause and cancel meanwhile; and drains get somewhere.
+#[test]
+fn the_rules_hold_while_machines_are_drained() {
+    play_all(500..540, Deployment::with_drains());
+}
+
 #[test]
 fn a_team_limit_holds_across_changes_of_leader() {
     play_all(100..130, Deployment::of_one_team(6.0));
--- a/tests/elastic_model.rs
+++ b/tests/elastic_model.rs
@@ -17,6 +17,7 @@
         price: 1.0,
         spot_price: None,
         boot_s: 60.0,
+        fetch_gb_per_s: 1.0,
         zones: vec!["a".into()],
     }]
 }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -75,6 +75,7 @@
             price: 1.0,
             spot_price: None,
             boot_s: 60.0,
+            fetch_gb_per_s: 1.0,
             zones: config.zones.clone(),
         };
         let mut fleet = Fleet {
