--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -2,6 +2,7 @@
 //! Waits are for events, bounded only so that a broken program ends the test; no timing is asserted.
 
 mod close_looks;
+mod draining;
 mod late_writes;
 mod standins;
 
@@ -15,18 +16,22 @@
 struct Node {
     process: Child,
     config: PathBuf,
+    operator: Option<PathBuf>,
 }
 
 impl Node {
-    fn start(config: PathBuf) -> Node {
+    fn start(config: PathBuf, operator: Option<PathBuf>) -> Node {
+        let operator_file = operator.iter().flat_map(|file| ["--operator".as_ref(), file.as_os_str()]);
         let process = Command::new(env!("CARGO_BIN_EXE_dockpier"))
-            .args(["serve", "--config"])
+            .arg("serve")
+            .args(operator_file)
+            .arg("--config")
             .arg(&config)
             .env("LOG_LEVEL", "error")
             .stdin(Stdio::null())
             .spawn()
             .unwrap();
-        Node { process, config }
+        Node { process, config, operator }
     }
 
     fn kill(&mut self) {
@@ -36,7 +41,7 @@
 
     fn restart(&mut self) {
         self.kill();
-        *self = Node::start(self.config.clone());
+        *self = Node::start(self.config.clone(), self.operator.clone());
     }
 }
 
@@ -56,8 +61,19 @@
     held.map(|l| l.local_addr().unwrap())
 }
 
-/// Three controllers and what is around them.
+/// Three controllers in one zone, and what is around them.
 async fn start_nodes(name: &str, state: SocketAddr, cloud: SocketAddr) -> (Vec<Node>, Vec<SocketAddr>) {
+    start_in_zones(name, state, cloud, &["a"], None).await
+}
+
+/// Three controllers in these zones, under the operators' settings.
+async fn start_in_zones(
+    name: &str,
+    state: SocketAddr,
+    cloud: SocketAddr,
+    zones: &[&str],
+    operator: Option<&str>,
+) -> (Vec<Node>, Vec<SocketAddr>) {
     let addresses = free_addresses::<6>();
     let (public, peers) = (addresses[..3].to_vec(), addresses[3..].to_vec());
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
@@ -71,14 +87,19 @@
             let settings = json!({"node_name": format!("n{i}"), "site": "a", "public_addr": public[i],
                 "peer_bind": peers[i], "members": members,
                 "external": {"cloud": cloud, "state": state},
-                "deployment": {"nodes": 3, "zones": ["a"], "teams": [
-                        {"name": "team", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 4.0}],
+                "deployment": {"nodes": 3, "zones": zones, "teams": [
+                        {"name": "team", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": if zones.len() > 1 { 0.0 } else { 4.0 }}],
                     "workers": {"report_s": 0.5, "lease_s": 10.0, "cancel_s": 40.0},
                     "state": {"rps": 1000.0, "write_rps": 500.0, "value_kb": 8.0, "txn_ops": 8},
                     "cloud": {"rps": 50.0, "list_lag_s": 1.0}}});
             let config = folder.join(format!("n{i}.json"));
             std::fs::write(&config, settings.to_string()).unwrap();
-            Node::start(config)
+            let operator_file = operator.map(|text| {
+                let file = folder.join("operator.scm");
+                std::fs::write(&file, text).unwrap();
+                file
+            });
+            Node::start(config, operator_file)
         })
         .collect();
     (nodes, public)
--- a/tests/loopback/standins.rs
+++ b/tests/loopback/standins.rs
@@ -5,7 +5,7 @@
 use poem::web::{Data, Json, Path, Query};
 use poem::{delete, get, handler, post, EndpointExt, Response, Route, Server};
 use serde_json::{json, Value};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -246,21 +246,53 @@
     }
 }
 
-#[derive(Default)]
 pub struct CloudState {
     pub machines: BTreeMap<String, Value>,
-    charters: BTreeMap<String, Vec<String>>,
+    /// Rentals by name.
+    pub charters: BTreeMap<String, Vec<String>>,
+    /// The zones that have machines, and how many machines there are in all.
+    pub zones: Vec<String>,
+    pub capacity: usize,
+    /// Machines whose workers hang.
+    pub hanging: BTreeSet<String>,
+    /// What the workers did, in order.
+    pub seen: Vec<Seen>,
     made: u64,
 }
 
+/// A task began to run on a worker, or ended there.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    pub at: Instant,
+    pub machine: String,
+    pub zone: String,
+    pub task: String,
+    pub begins: bool,
+}
+
+impl Default for CloudState {
+    fn default() -> Self {
+        CloudState {
+            machines: BTreeMap::new(),
+            charters: BTreeMap::new(),
+            zones: vec!["a".into()],
+            capacity: 6,
+            hanging: BTreeSet::new(),
+            seen: Vec::new(),
+            made: 0,
+        }
+    }
+}
+
 type Cloud = Arc<Mutex<CloudState>>;
 
 #[handler]
-fn catalog() -> Response {
+fn catalog(Data(cloud): Data<&Cloud>) -> Response {
+    let zones = cloud.lock().unwrap().zones.clone();
     reply(
         200,
         json!({"hulls": [{"label": "m4", "cores": 4, "gpus": 1, "memory_gb": 16, "cache_gb": 10,
-            "pull_gb_per_s": 1.0, "hourly": 1.0, "spot_price": 0.3, "boot_s": 1, "quays": ["a"]}]}),
+            "pull_gb_per_s": 1.0, "hourly": 1.0, "spot_price": 0.3, "boot_s": 1, "quays": zones}]}),
     )
 }
 
@@ -271,11 +303,12 @@
     if let Some(names) = cloud.charters.get(&charter) {
         return reply(200, json!({ "vessels": names }));
     }
-    if cloud.machines.len() >= 6 {
+    let room = cloud.capacity.saturating_sub(cloud.machines.len()) as u64;
+    if room == 0 {
         return reply(503, json!({"error": "no capacity"}));
     }
     let mut names = Vec::new();
-    for _ in 0..body["how_many"].as_u64().unwrap().min(4) {
+    for _ in 0..body["how_many"].as_u64().unwrap().min(4).min(room) {
         cloud.made += 1;
         let name = format!("m-{:06}", cloud.made);
         let machine = json!({"uid": name, "address": "127.0.0.1:9", "hull": "m4", "quay": body["quay"],
@@ -343,10 +376,10 @@
 /// What a worker has: task -> (attempt, status, cause, when it ends).
 type Tasks = BTreeMap<String, (u64, &'static str, Option<&'static str>, Instant)>;
 
-/// Plays a worker for every machine that the cloud has rented out, until the test ends. Each task
-/// runs 200 ms, but for those of jobs whose number is 900 or more, which run until they are stopped.
+/// Plays a worker for every machine that the cloud has rented out, until the test ends. How long a task runs goes by
+/// its job's number: below 500 a fifth of a second, below 900 six seconds, from there on until it is stopped.
 pub async fn workers(cloud: Cloud, nodes: Vec<SocketAddr>) {
-    let mut known: std::collections::BTreeSet<String> = Default::default();
+    let mut known: BTreeSet<String> = Default::default();
     loop {
         let machines: Vec<(String, Value)> =
             cloud.lock().unwrap().machines.iter().map(|(n, m)| (n.clone(), m.clone())).collect();
@@ -359,12 +392,25 @@
     }
 }
 
+/// Notes in the workers' own records that a task began or ended.
+fn note(cloud: &Cloud, machine: &Value, task: &str, begins: bool) {
+    let text = |field: &str| machine[field].as_str().unwrap().to_string();
+    let seen =
+        Seen { at: Instant::now(), machine: text("uid"), zone: text("quay"), task: task.to_string(), begins };
+    cloud.lock().unwrap().seen.push(seen);
+}
+
 async fn worker(cloud: Cloud, nodes: Vec<SocketAddr>, name: String, machine: Value) {
     let client = reqwest::Client::builder().no_proxy().build().unwrap();
     let (mut tasks, mut tally, mut helm, mut at) = (Tasks::new(), 0u64, 0u64, 0usize);
     while cloud.lock().unwrap().machines.contains_key(&name) {
-        for task in tasks.values_mut().filter(|t| t.1 == "running" && t.3 <= Instant::now()) {
+        if cloud.lock().unwrap().hanging.contains(&name) {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        }
+        for (load, task) in tasks.iter_mut().filter(|(_, t)| t.1 == "running" && t.3 <= Instant::now()) {
             (task.1, task.2) = ("exited", Some("done"));
+            note(&cloud, &machine, load, false);
         }
         tally += 1;
         let loads: Vec<Value> = tasks
@@ -385,26 +431,40 @@
         match body.filter(|b| b["helm"].as_u64().is_some_and(|h| h >= helm)) {
             Some(body) => {
                 helm = body["helm"].as_u64().unwrap();
-                body["signals"].as_array().unwrap().iter().for_each(|s| signal(&mut tasks, s));
+                for command in body["signals"].as_array().unwrap() {
+                    signal(&cloud, &machine, &mut tasks, command);
+                }
             }
             None => at += 1,
         }
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
+    // The machine is gone with everything on it.
+    for (load, _) in tasks.iter().filter(|(_, task)| task.1 == "running") {
+        note(&cloud, &machine, load, false);
+    }
 }
 
-fn signal(tasks: &mut Tasks, signal: &Value) {
+fn signal(cloud: &Cloud, machine: &Value, tasks: &mut Tasks, signal: &Value) {
     let load = signal["load"].as_str().unwrap().to_string();
     let launch = signal["launch"].as_u64().unwrap();
-    let endless = load.get(4..10).and_then(|n| n.parse::<u32>().ok()).is_some_and(|n| n >= 900);
-    let ends = Instant::now() + Duration::from_millis(if endless { 3_600_000 } else { 200 });
+    let job: u32 = load.get(4..10).and_then(|number| number.parse().ok()).unwrap();
+    let runs_ms = match job {
+        0..500 => 200,
+        500..900 => 6_000,
+        _ => 3_600_000,
+    };
     match signal["signal"].as_str().unwrap() {
         "run" => {
-            tasks.entry(load).or_insert((launch, "running", None, ends));
+            tasks.entry(load.clone()).or_insert_with(|| {
+                note(cloud, machine, &load, true);
+                (launch, "running", None, Instant::now() + Duration::from_millis(runs_ms))
+            });
         }
         "stop" => {
             if let Some(task) = tasks.get_mut(&load).filter(|t| t.0 == launch && t.1 != "exited") {
                 (task.1, task.2) = ("exited", Some("halted"));
+                note(cloud, machine, &load, false);
             }
         }
         _ => tasks.retain(|l, t| *l != load || t.0 != launch || t.1 != "exited"),
