--- a/crates/dockpier-virtual-fleet/src/history.rs
+++ b/crates/dockpier-virtual-fleet/src/history.rs
@@ -148,6 +148,13 @@
         }
     }
 
+    /// Replicas that serve now.
+    pub fn running_now(&self) -> usize {
+        let services =
+            self.running.iter().filter(|(id, _)| self.jobs.get(&id.job_id).is_some_and(|f| f.service));
+        services.filter(|(_, on)| !on.is_empty()).count()
+    }
+
     /// Seconds for which replicas of these jobs did not serve, within the last `window_s`.
     pub fn replica_s(&self, now: u64, window_s: f64, of: impl Fn(JobId) -> bool) -> f64 {
         let begins = now.saturating_sub(limits::micros(window_s));
