Leadership, peer frames, the elastic pass, reports and the core are split by job

Change: modules moved as they were: leadership/{authority,election,handover,messages,store_answers}, peer/{layout,codec,transport}, core/elastic/{rank,capacity,find,shrink}, core/{messages,placing,reconciliation, reserve,answers,hearing}. No logic changed, no byte outside.

--- /dev/null
+++ b/src/core/answers.rs
@@ -0,0 +1,110 @@
+//! What workers are told: answers to their reports, and direct stops.
+
+use super::model::*;
+use super::{Core, Effect, Order};
+
+impl Core {
+    pub(super) fn stop_orders(machine: &Machine) -> impl Iterator<Item = Order> + '_ {
+        let own = machine.tasks.iter().filter_map(|(id, t)| {
+            t.stopping.map(|(_, grace_s)| Order::Stop { id: *id, attempt: t.attempt, grace_s })
+        });
+        let foreign = machine.foreign.iter().map(|(id, attempt)| Order::Stop {
+            id: *id,
+            attempt: *attempt,
+            grace_s: 0.0,
+        });
+        own.chain(foreign)
+    }
+
+    /// The answer to a check-in, which renews the machine's lease; and whether the node that it came
+    /// through may answer by itself what says nothing new.
+    pub fn answer(&mut self, name: &str) -> (Vec<Order>, bool) {
+        let now = self.now;
+        let reconciled_and_recorded;
+        let mut orders: Vec<Order>;
+        {
+            let Some(machine) = self.machines.get_mut(name) else { return (Vec::new(), false) };
+            machine.answered = now;
+            machine.woken = false;
+            machine.told_token = machine.via.is_none() && !machine.reconciled;
+            orders = Self::stop_orders(machine).collect();
+            reconciled_and_recorded = machine.reconciled && machine.recorded;
+        }
+        let machine = &self.machines[name];
+        for ((id, attempt), reason) in &machine.exited {
+            // The result on the worker is the only one until ours is committed.
+            let job = self.jobs.get(&id.job_id);
+            let kept = *reason == ExitReason::Done && job.is_some_and(|j| j.uncommitted.contains(&id.task));
+            if !kept {
+                orders.push(Order::Forget { id: *id, attempt: *attempt });
+            }
+        }
+        if let Some(machine) = self.machines.get_mut(name).filter(|_| reconciled_and_recorded) {
+            let newest = (machine.session, machine.sequence);
+            for (id, placed) in &mut machine.tasks {
+                if placed.sent.is_none() && !placed.seen && placed.stopping.is_none() {
+                    placed.sent = Some(newest);
+                    orders.push(Order::Start { id: *id, attempt: placed.attempt });
+                }
+            }
+            // What goes through a lessee may be lost between it and us; that says nothing of the machine.
+            if machine.via.is_none() {
+                machine.told.clone_from(&orders);
+            }
+        }
+        let blocks = self.config.block_lease > 0;
+        let Some(machine) = self.machines.get_mut(name) else { return (orders, false) };
+        machine.kept = blocks
+            && machine.via.is_some()
+            && orders.is_empty()
+            && machine.calm()
+            && machine.exited.is_empty();
+        (orders, machine.kept)
+    }
+
+    /// A lessee has answered these machines by itself, and nobody else before `covers`. Their leases run on;
+    /// one that there is something to tell is to be passed on, whether or not its lessee was told so before.
+    pub fn heard_through(&mut self, node: usize, names: Vec<String>, covers: Option<u64>) {
+        let now = self.now;
+        let lessee = self.lessees.entry(node).or_default();
+        lessee.covered = lessee.covered.max(covers.unwrap_or(0));
+        lessee.confirmed = now;
+        for name in names {
+            let Some(machine) = self.machines.get_mut(&name) else { continue };
+            machine.answered = now;
+            machine.heard = now;
+            // Come back to a lessee that still knew it, it says nothing new there, and was taken for silent on
+            // the way that it had left; what it did elsewhere meanwhile the lessee can't tell.
+            let came = machine.comes_by(Some(node), now);
+            if came || !machine.calm() {
+                (machine.woken, machine.kept) = (false, true);
+                self.wake(&name);
+            }
+        }
+    }
+
+    /// There is something to tell this machine: its lessee is to pass its next report on.
+    pub fn wake(&mut self, name: &str) {
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        if let (Some(node), false, true) = (machine.via, machine.woken, machine.kept) {
+            machine.woken = true;
+            self.effects.push(Effect::Wake { node, machine: name.to_string() });
+        }
+    }
+
+    /// Stops go straight to the worker too, since its next report may be seconds away.
+    pub fn direct_stops(&mut self) {
+        for name in std::mem::take(&mut self.fleet.direct) {
+            let Some(machine) = self.machines.get(&name) else { continue };
+            let orders: Vec<Order> = Self::stop_orders(machine).collect();
+            if machine.phase == Phase::Up && !orders.is_empty() {
+                self.effects.push(Effect::Direct {
+                    machine: name,
+                    address: machine.address.clone(),
+                    session: machine.session,
+                    orders,
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/core/messages.rs
@@ -0,0 +1,205 @@
+//! What the core is told, and what it decides: commands in, effects out.
+
+use super::drains::{DrainKey, DrainValue, LoadedDrains};
+use super::model::*;
+use crate::settings::{Operator, Team, Workers};
+use dockpier_drain::request::StoredRequest;
+use std::collections::BTreeSet;
+
+#[derive(Debug, Clone)]
+pub struct Config {
+    pub token: u64,
+    pub operator: Operator,
+    pub workers: Workers,
+    pub teams: Vec<Team>,
+    pub zones: Vec<String>,
+    pub list_lag_s: f64,
+    pub round_steps: usize,
+    /// The share of a processor core that this process has.
+    pub cpu_share: f64,
+    /// Puts and deletes a second that the state service allows all nodes together.
+    pub write_rps: f64,
+    /// Machines that fit into one record.
+    pub record_machines: usize,
+    /// Bytes that a value of the state service may have.
+    pub value_most: usize,
+    /// Rental requests under way at once.
+    pub rentals_at_once: usize,
+    /// For how long a lessee may go on by itself, in microseconds; 0: there are no others.
+    pub block_lease: u64,
+}
+
+/// A job as the state service has it.
+#[derive(Debug, Clone)]
+pub struct StoredJob {
+    pub spec: JobSpec,
+    pub version: u64,
+    /// Time since its submission, in microseconds.
+    pub age: u64,
+    pub done: BTreeSet<u32>,
+}
+
+/// A machine as the state service has it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StoredMachine {
+    pub name: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub address: String,
+    /// Images it has, so that a new leader still places jobs where they start at once.
+    pub images: BTreeSet<String>,
+}
+
+/// A machine as the cloud lists it: only ever a hint.
+#[derive(Debug, Clone)]
+pub struct ListedMachine {
+    pub machine: StoredMachine,
+    pub failed: bool,
+    pub age_s: f64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    Done,
+    Refused,
+    /// No answer: it may have been carried out, or may yet be.
+    Unknown,
+}
+
+/// What a report turned out to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Taken {
+    /// The round should look at what it brought.
+    News,
+    /// It lists what the last one did.
+    Unchanged,
+    /// A copy of one that was taken already, or from a machine that is gone.
+    Late,
+}
+
+#[derive(Debug)]
+pub enum Command {
+    /// What the state service held when this leader took over.
+    Load {
+        jobs: Vec<StoredJob>,
+        records: Vec<(String, Vec<StoredMachine>)>,
+    },
+    JobAdded(StoredJob),
+    JobRemoved(JobId),
+    /// A check-in; the answer goes out under this number.
+    Checkin {
+        reply: u64,
+        report: Report,
+        /// The lessee that passed it on; None: it came here.
+        via: Option<usize>,
+    },
+    /// Machines that a lessee has answered by itself.
+    Heard {
+        node: usize,
+        machines: Vec<String>,
+        /// Up to then it has answered nobody else; None: the list may be cut short.
+        covers: Option<u64>,
+        /// Its first heartbeats: an earlier life may have answered anybody until now.
+        fresh: bool,
+    },
+    /// A worker's report in answer to a direct command.
+    OrdersAnswered(Report),
+    Committed {
+        job_id: JobId,
+        tasks: BTreeSet<u32>,
+        outcome: Outcome,
+    },
+    Finished {
+        job_id: JobId,
+        outcome: Outcome,
+    },
+    Recorded {
+        key: String,
+        outcome: Outcome,
+    },
+    Types(Vec<MachineType>),
+    Rented {
+        request: u64,
+        machines: Option<Vec<String>>,
+        outcome: Outcome,
+    },
+    Deleted {
+        machines: Vec<String>,
+        outcome: Outcome,
+    },
+    Listed(Vec<ListedMachine>),
+    /// What the state service held of drains when this leader took over; comes before `Load`.
+    LoadDrains(LoadedDrains),
+    /// What operators ask for now.
+    DrainRequests(Vec<StoredRequest>),
+    DrainWritten {
+        key: DrainKey,
+        outcome: Outcome,
+    },
+}
+
+/// What a worker is told.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Order {
+    Start { id: TaskId, attempt: u64 },
+    Stop { id: TaskId, attempt: u64, grace_s: f64 },
+    Forget { id: TaskId, attempt: u64 },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    Answer {
+        reply: u64,
+        orders: Vec<Order>,
+        /// The node that passed the report on may answer the next ones by itself if they say nothing new.
+        keep: bool,
+    },
+    /// A lessee is to pass this machine's next report on.
+    Wake {
+        node: usize,
+        machine: String,
+    },
+    /// Stops sent straight to a worker, which then need not wait for its next report.
+    Direct {
+        machine: String,
+        address: String,
+        session: u64,
+        orders: Vec<Order>,
+    },
+    CommitDone {
+        job_id: JobId,
+        version: u64,
+        tasks: BTreeSet<u32>,
+        all_done: BTreeSet<u32>,
+    },
+    Finish {
+        job_id: JobId,
+        version: u64,
+        tasks: u32,
+        /// Keys of finished tasks to remove with it.
+        chunks: Vec<u32>,
+    },
+    /// Machines that may hold tasks; none: the record is to be removed.
+    Record {
+        key: String,
+        machines: Vec<StoredMachine>,
+    },
+    Rent {
+        request: u64,
+        /// The rental's name, where it must be the same whoever leads.
+        name: Option<String>,
+        machine_type: String,
+        zone: String,
+        spot: bool,
+        count: u32,
+    },
+    Delete(Vec<String>),
+    /// A record of a drain is to be stored.
+    WriteDrain {
+        key: DrainKey,
+        value: DrainValue,
+    },
+    /// A worker has seen a higher token: somebody else leads.
+    Deposed(u64),
+}
--- /dev/null
+++ b/src/core/placing.rs
@@ -0,0 +1,104 @@
+//! Where tasks are: placed, told to stop, and provably gone.
+
+use super::model::*;
+use super::Core;
+use tracing::debug;
+
+impl Core {
+    pub(super) fn stop_all(&mut self, job_id: JobId) {
+        let Some(job) = self.jobs.get(&job_id) else { return };
+        let places: Vec<_> = self.placed(job).map(|(id, machine, _)| (id, machine.to_string())).collect();
+        for (id, machine) in places {
+            self.stop(&machine, id, 0.0);
+        }
+    }
+
+    /// Every place where a task of the job is, or may be.
+    pub(super) fn placed<'a>(&'a self, job: &'a Job) -> impl Iterator<Item = (TaskId, &'a str, &'a Placed)> {
+        let places = job.places.iter().flat_map(|(task, names)| names.iter().map(move |n| (*task, n)));
+        places.filter_map(|(task, name)| {
+            let id = TaskId { job_id: job.spec.job_id, task };
+            Some((id, name.as_str(), self.machines.get(name)?.tasks.get(&id)?))
+        })
+    }
+
+    pub(super) fn drop_if_over(&mut self, job_id: JobId) {
+        if self.jobs.get(&job_id).is_some_and(|j| j.over && j.places.is_empty()) {
+            self.jobs.remove(&job_id);
+        }
+    }
+
+    /// One number for all tasks of a job that start together: a gang's tasks find one another by it.
+    /// It carries the token, so that no two leaders ever use one twice.
+    pub(super) fn next_attempt(&mut self) -> u64 {
+        self.attempts += 1;
+        (self.config.token << 32) | self.attempts
+    }
+
+    /// Reserves the place; the start goes out with the answer to the machine's next report.
+    pub(super) fn place_on(&mut self, name: &str, id: TaskId, needs: Resources, image: String, attempt: u64) {
+        let now = self.now;
+        if let Some(machine) = self.machines.get_mut(name) {
+            debug!(task = %id, machine = name, attempt, "place");
+            let placed = Placed {
+                attempt,
+                needs,
+                sent: None,
+                seen: false,
+                status: TaskStatus::Fetching,
+                runs_since: None,
+                image,
+                since: now,
+                stopping: None,
+            };
+            machine.tasks.insert(id, placed);
+        }
+        self.wake(name);
+    }
+
+    pub(super) fn stop(&mut self, name: &str, id: TaskId, grace_s: f64) {
+        let now = self.now;
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        let Some(placed) = machine.tasks.get_mut(&id) else { return };
+        if placed.sent.is_none() && !placed.seen {
+            // Its start has not left: it is provably nowhere.
+            machine.tasks.remove(&id);
+            self.unplace(name, id);
+            return;
+        }
+        // A later stop with less grace ends the saving.
+        let grace = placed.stopping.map_or(grace_s, |(_, g)| g.min(grace_s));
+        if placed.stopping.is_none_or(|(_, g)| g > grace) {
+            placed.stopping = Some((now, grace));
+            self.fleet.direct.insert(name.to_string());
+            self.wake(name);
+        }
+    }
+
+    /// The task is provably not on this machine any more.
+    pub(super) fn unplace(&mut self, name: &str, id: TaskId) {
+        let Some(job) = self.jobs.get_mut(&id.job_id) else { return };
+        if let Some(names) = job.places.get_mut(&id.task) {
+            names.retain(|n| n != name);
+            if names.is_empty() {
+                job.places.remove(&id.task);
+                if !job.over && !job.done.contains(&id.task) {
+                    job.waiting.insert(id.task);
+                }
+            }
+        }
+        self.drop_if_over(id.job_id);
+    }
+
+    /// Everything on the machine is gone.
+    pub(super) fn clear_machine(&mut self, name: &str) {
+        self.note_lost_work(name);
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        let tasks: Vec<_> = std::mem::take(&mut machine.tasks).into_keys().collect();
+        machine.exited.clear();
+        machine.foreign.clear();
+        for id in tasks {
+            self.unplace(name, id);
+        }
+    }
+}
--- /dev/null
+++ b/src/core/reconciliation.rs
@@ -0,0 +1,84 @@
+//! What is known of earlier leaders' machines, and when a machine may be counted on or its lease is over.
+
+use super::model::*;
+use super::{fleet, Core};
+use crate::limits;
+use std::collections::BTreeSet;
+use tracing::info;
+
+impl Core {
+    pub fn usable(&self, machine: &Machine) -> bool {
+        machine.phase == Phase::Up
+            && machine.reconciled
+            && machine.recorded
+            && !machine.draining
+            && !machine.deleting
+            && !self.drains.is_cordoned(&machine.name)
+            && machine.recall_at.is_none()
+            && machine.foreign.is_empty()
+            && machine.no_room_until <= self.now
+            && !self.failure_detector.zone_unreachable(&machine.zone)
+            && machine.unheard < limits::UNHEARD_DEAF
+            && self.now < machine.heard + limits::silent(self.config.workers.report_s)
+    }
+
+    /// Whether every machine that an earlier leader may have started the job on is accounted for, as of
+    /// the beginning of the round.
+    pub fn reconciled_for(&self, job: &Job) -> bool {
+        let may_use = |(machine_type, zone, spot): &fleet::Offer| {
+            job.spec.allows_type(machine_type) && job.spec.allows_zone(zone) && (!spot || job.spec.spot)
+        };
+        self.reconciled || !self.unreconciled.iter().any(may_use)
+    }
+
+    pub(super) fn note_unreconciled(&mut self) {
+        let open = self.machines.values().filter(|m| m.inherited && !m.reconciled);
+        self.unreconciled = if self.reconciled {
+            BTreeSet::new()
+        } else {
+            open.map(|m| (m.machine_type.clone(), m.zone.clone(), m.spot)).collect()
+        };
+    }
+
+    pub(super) fn expire(&mut self) {
+        if self.now < self.expire_due {
+            return;
+        }
+        self.expire_due = self.now + limits::EXPIRE_EVERY;
+        self.update_reachability();
+        let lease = limits::worker_lease(self.config.workers.lease_s);
+        let now = self.now;
+        let alive = self.started.max(self.kept_alive);
+        // A lessee may have answered anybody since its last word, until its own lease ends.
+        let block_lease = limits::lengthened(self.config.block_lease);
+        let open = self.lessees.values().filter(|h| now < h.confirmed + block_lease + lease);
+        let covered = open.map(|h| h.covered).min().unwrap_or(u64::MAX);
+        let ended: Vec<String> = self
+            .machines
+            .values()
+            .filter(|m| m.phase != Phase::Lost)
+            // A worker first heard of may have begun its lease as late as then: without its report in the
+            // sum, every machine younger than this leader was given up the moment it came up.
+            .filter(|m| now.min(covered) >= m.answered.max(m.heard).max(alive) + lease)
+            .filter(|m| m.phase == Phase::Up || !m.tasks.is_empty() || (m.inherited && !m.reconciled))
+            .map(|m| m.name.clone())
+            .collect();
+        for name in ended {
+            info!(machine = name, "lease ended: everything on it is gone");
+            self.clear_machine(&name);
+            if let Some(machine) = self.machines.get_mut(&name) {
+                machine.phase = Phase::Lost;
+                machine.reconciled = true;
+            }
+            self.news = true;
+        }
+        if !self.reconciled && self.loaded {
+            let open = |m: &&Machine| m.inherited && !m.reconciled;
+            self.reconciled = now >= alive + lease || self.machines.values().filter(open).count() == 0;
+            if self.reconciled {
+                info!(after_ms = (now - self.started) / 1000, "all machines of earlier leaders reconciled");
+                self.news = true;
+            }
+        }
+    }
+}
--- a/src/leadership_tests.rs
+++ b/src/leadership/tests.rs
@@ -5,6 +5,8 @@
 use crate::blocks::{Block, BlockHeartbeat};
 use crate::core::model::{JobId, Report, ReportedTask, TaskId, TaskStatus};
 use crate::core::Order;
+use crate::limits::lengthened;
+use rand::Rng;
 use std::collections::{BTreeMap, BTreeSet};
 
 const MS: u64 = 1_000;
--- a/src/peer.rs
+++ b/src/peer/codec.rs
@@ -1,177 +1,14 @@
-//! Frames between controllers: a fixed layout each, read in place.
+//! Frames as bytes and back. What comes from outside is checked before it is believed.
 
+use super::layout::*;
+use super::{Payload, Sender};
 use crate::cancellation_log::Attestation;
 use crate::core::model::{ExitReason, JobId, Report, ReportedTask, TaskId, TaskStatus};
 use crate::core::Order;
 use crate::leadership::{Message, Status};
 use crate::limits;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
-use tracing::{debug, warn};
-use zerocopy::little_endian::{U16, U32, U64};
-use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
-
-/// The last digits are the version of these layouts.
-const MAGIC: u32 = 0x444b_5003;
-
-/// The head of every frame; `length` bytes follow it.
-#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
-#[repr(C)]
-struct Head {
-    magic: U32,
-    length: U32,
-    kind: u8,
-    node: u8,
-    /// What the sender can do beyond the first version of these layouts, which ignores these bits.
-    abilities: U16,
-    incarnation: U64,
-    sequence: U64,
-    state_age: U64,
-    workers: U32,
-    successor: U32,
-    token: U64,
-    stamp: U64,
-}
-
-/// One job of a summary, for display.
-#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
-#[repr(C)]
-struct Line {
-    job_id: U64,
-    done: U32,
-    running: U32,
-}
-
-/// A worker's report on its way to the leader; the tasks and then the names follow it.
-#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
-#[repr(C)]
-struct ReportLine {
-    session: U64,
-    sequence: U64,
-    token: U64,
-    /// Microseconds until the cloud takes the machine; all ones: no notice.
-    notice: U64,
-    tasks: U32,
-    spot: u8,
-    machine: u8,
-    address: u8,
-    machine_type: u8,
-    zone: u8,
-    reserved: [u8; 3],
-}
-
-#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
-#[repr(C)]
-struct TaskLine {
-    job_id: U64,
-    attempt: U64,
-    task: U32,
-    status: u8,
-    reserved: [u8; 3],
-}
-
-/// What a worker is to be told.
-#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
-#[repr(C)]
-struct OrderLine {
-    job_id: U64,
-    attempt: U64,
-    grace_ms: U32,
-    task: U32,
-    kind: u8,
-    reserved: [u8; 7],
-}
-
-/// A word on cancellations; the numbers of the cancelled jobs follow it.
-#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
-#[repr(C)]
-struct AttestationLine {
-    to: U64,
-    age: U64,
-    held: U64,
-    last: U64,
-    quiet: u8,
-    reserved: [u8; 7],
-}
-
-const HEARTBEAT: u8 = 1;
-const GRANT: u8 = 2;
-const PROMISE_REQUEST: u8 = 3;
-const PROMISE: u8 = 4;
-const RELEASE: u8 = 5;
-const SUMMARY: u8 = 6;
-const REPORT: u8 = 7;
-const REPLY: u8 = 8;
-const WAKE: u8 = 9;
-const HEARD: u8 = 10;
-const CONFIRMED: u8 = 11;
-/// Sent only to nodes that have shown `ATTESTS` in their present life: others drop the connection.
-const ATTESTATION: u8 = 12;
-
-/// It gives and takes words on cancellations.
-const ATTESTS: u16 = 1;
-
-const NO_NOTICE: u64 = u64::MAX;
-/// The most bytes that may follow a head: a report is at most a request body.
-const FOLLOWING_MOST: usize = limits::BODY;
-
-/// What a summary frame can carry at most.
-pub const SUMMARY_MOST: usize = FOLLOWING_MOST / size_of::<Line>();
-
-#[derive(Debug, Clone)]
-pub enum Payload {
-    Leadership(Status, Message),
-    /// (job number, finished, running)
-    Summary(Vec<(u64, u32, u32)>),
-    /// A report passed on to the leader, with the stamp of its last heartbeat.
-    Report {
-        id: u64,
-        stamp: u64,
-        report: Report,
-    },
-    /// The leader's answer to it; without a token it is not entitled to give one.
-    Reply {
-        id: u64,
-        token: Option<u64>,
-        keep: bool,
-        orders: Vec<Order>,
-    },
-    /// Machines whose next report is to be passed on.
-    Wake(Vec<String>),
-    /// Machines that their lessee answered by itself, with the stamp of the leader's last heartbeat.
-    Heard {
-        id: u64,
-        stamp: u64,
-        /// These are all that were answered since the last word that was confirmed.
-        whole: bool,
-        /// None was confirmed yet.
-        fresh: bool,
-        machines: Vec<String>,
-    },
-    /// The leader has taken note: the lessee may go on by itself for so long.
-    Confirmed {
-        id: u64,
-        lease_ms: u32,
-    },
-    Attestation(Attestation),
-}
-
-#[derive(Debug)]
-pub struct Received {
-    pub from: usize,
-    pub incarnation: u64,
-    pub payload: Payload,
-}
-
-/// Who we are, in every frame.
-#[derive(Debug, Clone, Copy)]
-pub struct Sender {
-    pub node: usize,
-    pub incarnation: u64,
-}
+use zerocopy::little_endian::U64;
+use zerocopy::{FromBytes, IntoBytes};
 
 fn status_code(status: TaskStatus) -> u8 {
     match status {
@@ -187,7 +24,7 @@
     }
 }
 
-fn status_of(code: u8) -> Option<TaskStatus> {
+pub(super) fn status_of(code: u8) -> Option<TaskStatus> {
     Some(match code {
         0 => TaskStatus::Fetching,
         1 => TaskStatus::Running,
@@ -364,8 +201,11 @@
         Payload::Summary(all) => {
             head.kind = SUMMARY;
             for (job_id, done, running) in &all[..all.len().min(SUMMARY_MOST)] {
-                let line =
-                    Line { job_id: (*job_id).into(), done: (*done).into(), running: (*running).into() };
+                let line = SummaryLine {
+                    job_id: (*job_id).into(),
+                    done: (*done).into(),
+                    running: (*running).into(),
+                };
                 body.extend_from_slice(line.as_bytes());
             }
         }
@@ -412,7 +252,7 @@
 }
 
 /// How many bytes follow this head, or why it is no frame.
-fn following(head: &[u8]) -> Result<usize, &'static str> {
+pub(super) fn following(head: &[u8]) -> Result<usize, &'static str> {
     let head = Head::ref_from_bytes(head).map_err(|_| "wrong length")?;
     if head.magic.get() != MAGIC {
         return Err("not a frame of this version");
@@ -448,7 +288,7 @@
         PROMISE => leadership(Message::Promise { echo: stamp }),
         RELEASE => leadership(Message::Release { token, successor: head.successor.get() as usize }),
         SUMMARY => {
-            let lines = <[Line]>::ref_from_bytes(rest).map_err(|_| "wrong length")?;
+            let lines = <[SummaryLine]>::ref_from_bytes(rest).map_err(|_| "wrong length")?;
             Payload::Summary(lines.iter().map(|l| (l.job_id.get(), l.done.get(), l.running.get())).collect())
         }
         REPORT => Payload::Report { id: stamp, stamp: time, report: read_report(rest)? },
@@ -480,118 +320,3 @@
     };
     Ok((head.node.into(), head.incarnation.get(), head.sequence.get(), payload))
 }
-
-/// Keeps a connection to one peer and sends what is queued. A peer that does not answer holds
-/// nothing up: the queue is bounded, and its senders drop what does not fit.
-pub async fn send_to(address: SocketAddr, sender: Sender, mut queue: mpsc::Receiver<Payload>) {
-    let mut sequence = 0;
-    let mut stream: Option<TcpStream> = None;
-    let mut waiting = Vec::new();
-    while queue.recv_many(&mut waiting, limits::PEER_BATCH).await > 0 {
-        if stream.is_none() {
-            let connect = tokio::time::timeout(limits::CONNECT_TIMEOUT, TcpStream::connect(address));
-            stream = match connect.await {
-                Ok(Ok(connected)) => {
-                    // Without it small frames would wait for one another; failing costs only time.
-                    let _ = connected.set_nodelay(true);
-                    Some(connected)
-                }
-                _ => None,
-            };
-            if stream.is_none() {
-                // What queued up meanwhile is old news.
-                waiting.clear();
-                while queue.try_recv().is_ok() {}
-                continue;
-            }
-        }
-        // What waits goes out together: every write costs a system call and a packet.
-        let mut frames = Vec::new();
-        for payload in waiting.drain(..) {
-            sequence += 1;
-            frames.append(&mut encode(sender, sequence, &payload));
-        }
-        if let Some(connected) = &mut stream {
-            let write = tokio::time::timeout(limits::CONNECT_TIMEOUT, connected.write_all(&frames));
-            if !matches!(write.await, Ok(Ok(()))) {
-                debug!(%address, "peer connection lost");
-                stream = None;
-            }
-        }
-    }
-}
-
-/// Which incarnation of each node is the latest, and which of its connections.
-type Latest = std::sync::Arc<std::sync::Mutex<std::collections::HashMap<usize, (u64, u64)>>>;
-
-/// Accepts the peers' connections and passes on what arrives.
-pub async fn listen(listener: TcpListener, nodes: usize, me: usize, to: mpsc::Sender<Received>) {
-    let latest = Latest::default();
-    let refused = std::sync::Arc::new(AtomicU64::new(0));
-    let mut connection = 0;
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                connection += 1;
-                let _ = stream.set_nodelay(true);
-                let (latest, refused, to) = (latest.clone(), refused.clone(), to.clone());
-                tokio::spawn(async move {
-                    // A frame that can't be read says that its connection can't be relied on.
-                    if let Err(why) = receive(stream, connection, nodes, me, latest, to).await {
-                        let count = refused.fetch_add(1, Ordering::Relaxed) + 1;
-                        warn!(why, count, "malformed frame: connection dropped");
-                    }
-                });
-            }
-            Err(error) => {
-                // Out of sockets, most likely: wait for some to be freed.
-                warn!(%error, "cannot accept a peer");
-                tokio::time::sleep(limits::CONNECT_TIMEOUT).await;
-            }
-        }
-    }
-}
-
-async fn receive(
-    stream: TcpStream,
-    connection: u64,
-    nodes: usize,
-    me: usize,
-    latest: Latest,
-    to: mpsc::Sender<Received>,
-) -> Result<(), &'static str> {
-    let mut stream = BufReader::new(stream);
-    let mut bytes = vec![0; size_of::<Head>()];
-    loop {
-        bytes.resize(size_of::<Head>(), 0);
-        if stream.read_exact(&mut bytes).await.is_err() {
-            return Ok(());
-        }
-        let more = following(&bytes)?;
-        bytes.resize(size_of::<Head>() + more, 0);
-        if stream.read_exact(&mut bytes[size_of::<Head>()..]).await.is_err() {
-            return Ok(());
-        }
-        let (from, incarnation, _, payload) = decode(&bytes)?;
-        if from >= nodes || from == me {
-            return Err("from nobody");
-        }
-        if let Ok(mut latest) = latest.lock() {
-            let known = latest.entry(from).or_insert((incarnation, connection));
-            // A later connection is from the later incarnation; bytes that a cut held back from an
-            // earlier one may still arrive and must do nothing.
-            if connection < known.1 && incarnation != known.0 {
-                debug!(from, "frame of an earlier incarnation: connection dropped");
-                return Ok(());
-            }
-            *known = (incarnation, connection.max(known.1));
-        }
-        if to.send(Received { from, incarnation, payload }).await.is_err() {
-            return Ok(());
-        }
-    }
-}
-
-#[cfg(test)]
-#[path = "peer_tests.rs"]
-mod tests;
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,70 @@
+//! Frames between controllers: a fixed layout each, read in place.
+
+mod codec;
+mod layout;
+mod transport;
+
+pub use codec::{carries, decode, encode};
+pub use layout::SUMMARY_MOST;
+pub use transport::{listen, send_to};
+
+use crate::cancellation_log::Attestation;
+use crate::core::model::Report;
+use crate::core::Order;
+use crate::leadership::{Message, Status};
+
+#[derive(Debug, Clone)]
+pub enum Payload {
+    Leadership(Status, Message),
+    /// (job number, finished, running)
+    Summary(Vec<(u64, u32, u32)>),
+    /// A report passed on to the leader, with the stamp of its last heartbeat.
+    Report {
+        id: u64,
+        stamp: u64,
+        report: Report,
+    },
+    /// The leader's answer to it; without a token it is not entitled to give one.
+    Reply {
+        id: u64,
+        token: Option<u64>,
+        keep: bool,
+        orders: Vec<Order>,
+    },
+    /// Machines whose next report is to be passed on.
+    Wake(Vec<String>),
+    /// Machines that their lessee answered by itself, with the stamp of the leader's last heartbeat.
+    Heard {
+        id: u64,
+        stamp: u64,
+        /// These are all that were answered since the last word that was confirmed.
+        whole: bool,
+        /// None was confirmed yet.
+        fresh: bool,
+        machines: Vec<String>,
+    },
+    /// The leader has taken note: the lessee may go on by itself for so long.
+    Confirmed {
+        id: u64,
+        lease_ms: u32,
+    },
+    Attestation(Attestation),
+}
+
+#[derive(Debug)]
+pub struct Received {
+    pub from: usize,
+    pub incarnation: u64,
+    pub payload: Payload,
+}
+
+/// Who we are, in every frame.
+#[derive(Debug, Clone, Copy)]
+pub struct Sender {
+    pub node: usize,
+    pub incarnation: u64,
+}
+
+#[cfg(test)]
+#[path = "tests.rs"]
+mod tests;
--- a/src/peer_tests.rs
+++ b/src/peer/tests.rs
@@ -1,6 +1,9 @@
 //! Tests of `peer`.
 
+use super::codec::status_of;
+use super::layout::Head;
 use super::*;
+use crate::core::model::{JobId, ReportedTask, TaskId};
 
 #[test]
 fn frames_survive_the_trip_and_garbage_does_not() {
