--- a/src/cancellation_log_tests.rs
+++ b/src/cancellation_log_tests.rs
@@ -130,3 +130,23 @@
     say(NOW + 2 * SECOND, (&mut a, 0, 70), (&mut b, 1, 71), true);
     assert_eq!(b.keeps_until(), 0);
 }
+
+/// More cancellations than a frame holds are attested by none: the others' bound stands, and so workers' leases run
+/// out rather than keep a cancelled task alive. Once nothing hangs on them any more, attestations go on.
+#[test]
+fn a_burst_beyond_one_frame_is_attested_by_nothing_until_it_is_forgotten() {
+    let (mut a, mut b) = pair();
+    b.heartbeat(0, 70, true, NOW);
+    a.heartbeat(1, 71, true, NOW);
+    let most = limits::ATTESTED_MOST as u64;
+    (0..most).for_each(|id| {
+        a.confirm(NOW + SECOND, JobId(id));
+    });
+    assert!(a.attest_to(NOW + SECOND, 1, false).is_some(), "as many as a frame holds");
+    a.confirm(NOW + SECOND, JobId(most));
+    assert_eq!(a.attest_to(NOW + SECOND, 1, false), None);
+    let known = b.by_members();
+    a.read(NOW + SECOND + KEPT, NOW + SECOND + KEPT, false, &[], &[]);
+    assert!(a.attest_to(NOW + SECOND + KEPT, 1, false).is_some());
+    assert_eq!(b.by_members(), known, "nothing was attested meanwhile");
+}
--- a/src/core/elastic/capacity.rs
+++ b/src/core/elastic/capacity.rs
@@ -1,5 +1,6 @@
 //! Free capacity as a round fills it, and what all jobs of the round ask for alike.
 
+use super::alike::{AlikeMachines, Grouping};
 use crate::core::model::{JobId, Kind, Machine, Priority, Resources};
 use crate::core::teams::TeamUsage;
 use crate::core::Core;
@@ -12,6 +13,10 @@
 pub struct FreeCapacity {
     /// Machines with room for the smallest waiting task; the others take nobody.
     pub(super) free: BTreeMap<String, Resources>,
+    /// The same machines, grouped.
+    pub(super) alike: AlikeMachines,
+    /// Places of the largest critical shape on the ordinary ones of these machines, by zone.
+    pub(super) critical_places: BTreeMap<String, i64>,
     /// Room that stops under way will give, by machine.
     pub(super) pending: BTreeMap<String, Resources>,
     /// Tasks of each job that were told to stop.
@@ -31,14 +36,41 @@
 
 impl FreeCapacity {
     pub(super) fn take(&mut self, machine: &Machine, needs: &Resources) {
-        let free = self.free.entry(machine.name.clone()).or_insert_with(|| machine.free());
-        *free = free.minus(needs);
+        let free = self.free_on(machine).minus(needs);
+        self.set(machine, free);
+    }
+
+    /// A stop will give room on the machine.
+    pub(super) fn give(&mut self, machine: &Machine, room: &Resources) {
+        let free = self.free_on(machine).plus(room);
+        self.set(machine, free);
     }
 
     /// Only so much of a machine's room is free to everybody.
     pub(in crate::core) fn limit(&mut self, machine: &Machine, room: Resources) {
-        if let Some(free) = self.free.get_mut(&machine.name) {
-            *free = room;
+        if self.free.contains_key(&machine.name) {
+            self.set(machine, room);
+        }
+    }
+
+    fn free_on(&self, machine: &Machine) -> Resources {
+        self.free.get(&machine.name).copied().unwrap_or_else(|| machine.free())
+    }
+
+    fn set(&mut self, machine: &Machine, free: Resources) {
+        let before = self.free.insert(machine.name.clone(), free);
+        self.alike.set_apart(&machine.name);
+        self.count_places(machine, before, free);
+    }
+
+    fn count_places(&mut self, machine: &Machine, before: Option<Resources>, free: Resources) {
+        let Some(shape) = self.shape.filter(|_| !machine.spot) else { return };
+        let more = shape.count_in(&free) - before.map_or(0, |before| shape.count_in(&before));
+        match self.critical_places.get_mut(&machine.zone) {
+            Some(places) => *places += more,
+            None => {
+                self.critical_places.insert(machine.zone.clone(), more);
+            }
         }
     }
 
@@ -47,8 +79,7 @@
         let mut soon = self.clone();
         for (name, pending) in &self.pending {
             if let Some(machine) = machines.get(name) {
-                let free = soon.free.entry(name.clone()).or_insert_with(|| machine.free());
-                *free = free.plus(pending);
+                soon.give(machine, pending);
             }
         }
         soon
@@ -63,6 +94,8 @@
         let least = jobs().filter(|j| !j.waiting.is_empty()).map(|j| j.spec.needs).reduce(|a, b| a.least(&b));
         let mut capacity = FreeCapacity {
             free: BTreeMap::new(),
+            alike: AlikeMachines::default(),
+            critical_places: BTreeMap::new(),
             pending: BTreeMap::new(),
             stopping: BTreeMap::new(),
             shape: self.critical_shape(),
@@ -75,6 +108,7 @@
             fixed_work: self.jobs.values().any(|j| !j.over && !j.spec.spot),
             teams: self.team_usage(),
         };
+        let mut grouping = Grouping::new(self);
         for machine in self.machines.values() {
             *steps += 1;
             for (id, task) in &machine.tasks {
@@ -88,12 +122,15 @@
             let free = machine.free();
             if least.is_some_and(|least| least.fits(&free)) {
                 capacity.free.insert(machine.name.clone(), free);
+                capacity.count_places(machine, None, free);
+                grouping.add(machine, free);
             }
             let pending = machine.free_soon(self.now).minus(&free);
             if pending != Resources::default() {
                 capacity.pending.insert(machine.name.clone(), pending);
             }
         }
+        capacity.alike = grouping.finish();
         capacity
     }
 }
--- a/src/core/elastic/find.rs
+++ b/src/core/elastic/find.rs
@@ -29,7 +29,6 @@
         capacity: &FreeCapacity,
         steps: &mut usize,
     ) -> Vec<String> {
-        *steps += capacity.free.len();
         let mut zones = ZoneCount::of(job, &self.machines);
         let pinned = if job.spec.one_zone && job.places.is_empty() {
             match self.best_zone(job, capacity) {
@@ -42,8 +41,13 @@
         let needs = &job.spec.needs;
         let mut reserve = self.reserve_room(capacity, job);
         let mut by_zone: BTreeMap<&str, Vec<Candidate>> = BTreeMap::new();
-        for (name, free) in &capacity.free {
-            let Some(machine) = self.machines.get(name).filter(|_| needs.fits(free)) else { continue };
+        let names = self.names_to_weigh(job, want, &capacity.alike, steps).unwrap_or_else(|| {
+            *steps += capacity.free.len();
+            capacity.free.keys().map(String::as_str).collect()
+        });
+        for name in names {
+            let Some(free) = capacity.free.get(name).filter(|free| needs.fits(free)) else { continue };
+            let Some(machine) = self.machines.get(name) else { continue };
             // One under suspicion has nowhere else to go.
             let failed_here = !job.is_suspected() && job.failed_on.contains(name);
             if !place::allowed(job, machine)
@@ -145,11 +149,7 @@
         if job.spec.priority == Priority::Critical {
             return reserve;
         }
-        for (name, free) in &capacity.free {
-            if let Some(machine) = self.machines.get(name).filter(|m| !m.spot) {
-                *reserve.spare.entry(machine.zone.clone()).or_default() += shape.count_in(free);
-            }
-        }
+        reserve.spare.clone_from(&capacity.critical_places);
         reserve.spare.values_mut().for_each(|n| *n -= capacity.kept);
         reserve.shape = Some(shape);
         reserve
--- a/src/core/elastic/mod.rs
+++ b/src/core/elastic/mod.rs
@@ -5,6 +5,7 @@
 //! rescale gap are shrunk, lowest first and never below their minimum, and only if together they
 //! free the newcomer's minimum; that room counts once the workers confirm.
 
+mod alike;
 mod capacity;
 mod find;
 mod rank;
@@ -157,3 +158,6 @@
         self.place_on(machine, TaskId { job_id, task }, needs, image, attempt);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/core/elastic/shrink.rs
+++ b/src/core/elastic/shrink.rs
@@ -108,8 +108,7 @@
                 if !place::allowed(job, machine) {
                     continue;
                 }
-                let free = soon.free.entry(name.to_string()).or_insert_with(|| machine.free());
-                *free = free.plus(&victim.spec.needs);
+                soon.give(machine, &victim.spec.needs);
                 soon.teams.stop(&victim.spec.team, &victim.spec.needs);
                 stops.push((name.to_string(), id));
                 if self.find(job, missing, false, soon, steps).len() as u32 >= missing {
--- /dev/null
+++ b/src/core/elastic/tests.rs
@@ -0,0 +1,156 @@
+//! Machines weighed by groups against every machine weighed by itself.
+
+use super::*;
+use crate::core::model::*;
+use crate::core::{Command, Config, StoredJob, StoredMachine};
+use crate::settings::{Operator, Team, Workers};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeSet;
+
+fn config() -> Config {
+    let team = Team { name: "t".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 };
+    Config {
+        token: 1,
+        operator: Operator::default(),
+        workers: Workers {
+            report_s: 1.0,
+            lease_s: 10.0,
+            cancel_s: 40.0,
+            gang_wait_s: 30.0,
+            gang_peer_s: 6.0,
+        },
+        teams: vec![team],
+        zones: vec!["a".into(), "b".into(), "c".into()],
+        list_lag_s: 3.0,
+        round_steps: limits::ROUND_STEPS,
+        cpu_share: 1.0,
+        write_rps: 1_000.0,
+        record_machines: 20,
+        value_most: 4_096,
+        rentals_at_once: 10,
+        block_lease: 0,
+    }
+}
+
+fn machine_type(name: &str, slots: f64, zones: &[String]) -> MachineType {
+    MachineType {
+        name: name.into(),
+        has: Resources::offered(slots, slots, slots),
+        price: 1.0,
+        spot_price: Some(0.5),
+        boot_s: 10.0,
+        fetch_gb_per_s: 1.0,
+        zones: zones.to_vec(),
+    }
+}
+
+fn draw_job(rng: &mut SmallRng, id: u64) -> JobSpec {
+    let kind = [Kind::Array, Kind::Service, Kind::Array][rng.random_range(0..3)];
+    let priorities = [Priority::Low, Priority::Normal, Priority::High];
+    let slots = f64::from(rng.random_range(1..3u32));
+    JobSpec {
+        job_id: JobId(id),
+        class: "c".into(),
+        team: "t".into(),
+        kind,
+        priority: if kind == Kind::Service { Priority::Critical } else { priorities[rng.random_range(0..3)] },
+        tasks: rng.random_range(1..60),
+        needs: Resources::needed(slots, slots, slots),
+        image: format!("i{}", rng.random_range(0..4)),
+        image_gb: 1.0,
+        types: rng.random_bool(0.3).then(|| vec!["m".to_string()]),
+        zone: rng.random_bool(0.2).then(|| "b".to_string()),
+        one_zone: kind == Kind::Array && rng.random_bool(0.2),
+        spread: kind == Kind::Service && rng.random_bool(0.5),
+        spot: kind == Kind::Array && rng.random_bool(0.7),
+        estimate_s: 60.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+/// A fleet of two types in three zones, spot and ordinary, some with images, some fetching, some partly full.
+fn draw_core(rng: &mut SmallRng, machines: usize) -> Core {
+    let config = config();
+    let zones = config.zones.clone();
+    let types = vec![machine_type("m", 4.0, &zones), machine_type("n", 8.0, &zones)];
+    let mut core = Core::new(config, limits::SECOND);
+    core.step(limits::SECOND, vec![Command::Types(types), Command::Load { jobs: vec![], records: vec![] }]);
+    // Everybody has the first image of some fleets.
+    let popular = rng.random_bool(0.5);
+    for number in 0..machines {
+        let zone = zones[rng.random_range(0..3)].clone();
+        let name = format!("m-{number:06}");
+        let machine_type = if rng.random_bool(0.7) { "m" } else { "n" };
+        core.machine(&StoredMachine {
+            name: name.clone(),
+            machine_type: machine_type.into(),
+            zone,
+            spot: rng.random_bool(0.5),
+            address: String::new(),
+            images: BTreeSet::new(),
+        });
+        let images = (0..4).filter(|image| popular && *image == 0 || rng.random_bool(0.05));
+        let images: BTreeSet<String> = images.map(|image| format!("i{image}")).collect();
+        for image in &images {
+            core.warm.entry(image.clone()).or_default().insert(name.clone());
+        }
+        let Some(machine) = core.machines.get_mut(&name) else { continue };
+        (machine.phase, machine.reconciled, machine.recorded) = (Phase::Up, true, true);
+        (machine.heard, machine.images) = (limits::SECOND, images);
+        machine.surplus = !machine.spot && rng.random_bool(0.2);
+        machine.slow_until = if rng.random_bool(0.1) { 100 * limits::SECOND } else { 0 };
+        for task in 0..rng.random_range(0..4u32) {
+            let id = TaskId { job_id: JobId(900_000 + number as u64), task };
+            let fetching = rng.random_bool(0.1);
+            let placed = Placed {
+                attempt: 1,
+                needs: Resources::needed(1.0, 1.0, 1.0),
+                sent: None,
+                seen: true,
+                status: if fetching { TaskStatus::Fetching } else { TaskStatus::Running },
+                runs_since: None,
+                image: "other".into(),
+                since: 0,
+                stopping: None,
+            };
+            machine.tasks.insert(id, placed);
+        }
+    }
+    core
+}
+
+#[test]
+fn groups_lead_to_the_same_machines_as_a_look_at_each() {
+    let mut found_any = 0;
+    for seed in 0..60 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let machines = rng.random_range(5..260);
+        let mut core = draw_core(&mut rng, machines);
+        let specs: Vec<JobSpec> = (1..12).map(|id| draw_job(&mut rng, id)).collect();
+        for spec in specs {
+            let version = spec.job_id.0;
+            core.add_job(StoredJob { spec, version, age: 0, done: BTreeSet::new() }, false);
+        }
+        let order: Vec<JobId> = core.jobs.keys().copied().collect();
+        let mut steps = 0;
+        let mut grouped = core.capacity(&order, &mut steps);
+        for job_id in order {
+            let mut each = grouped.clone();
+            let names: Vec<String> = each.free.keys().cloned().collect();
+            names.iter().for_each(|name| each.alike.set_apart(name));
+            let job = &core.jobs[&job_id];
+            let (want, patient) = (rng.random_range(1..job.spec.tasks + 1), rng.random_bool(0.5));
+            let found = core.find(job, want, patient, &grouped, &mut steps);
+            assert_eq!(found, core.find(job, want, patient, &each, &mut steps), "seed {seed}, {job_id}");
+            found_any += usize::from(!found.is_empty());
+            let needs = job.spec.needs;
+            for name in found.iter().take(rng.random_range(0..8)) {
+                grouped.take(&core.machines[name], &needs);
+            }
+        }
+    }
+    assert!(found_any > 300, "{found_any} jobs found machines");
+}
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -122,11 +122,24 @@
             self.clear_machine(&name);
             self.fleet.gone.insert(name.clone(), self.now);
             self.fleet.missing.remove(&name);
-            self.machines.remove(&name);
+            if let Some(machine) = self.machines.remove(&name) {
+                self.forget_images(&machine);
+            }
             self.unrecord(&name);
         }
     }
 
+    fn forget_images(&mut self, machine: &Machine) {
+        for image in &machine.images {
+            if let Some(warm) = self.warm.get_mut(image) {
+                warm.remove(&machine.name);
+                if warm.is_empty() {
+                    self.warm.remove(image);
+                }
+            }
+        }
+    }
+
     pub fn rented(&mut self, request: u64, machines: Option<Vec<String>>, outcome: Outcome) {
         if self.replacement_rented(request, &machines, outcome) {
             return;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -50,6 +50,8 @@
     pub types: BTreeMap<String, MachineType>,
     pub fleet: Fleet,
     drains: Drains,
+    /// Machines that have each image, as far as is known.
+    warm: BTreeMap<String, BTreeSet<String>>,
     ledger: overview::Ledger,
     records: records::Records,
     writes: records::WriteBudget,
@@ -97,6 +99,7 @@
             types: BTreeMap::new(),
             fleet: Fleet::new(now),
             drains: Drains::default(),
+            warm: BTreeMap::new(),
             ledger: overview::Ledger::default(),
             cursor: None,
             round_due: 0,
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -52,7 +52,7 @@
 }
 
 /// Amounts in thousandths (memory in MB), so that sums are exact.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct Resources {
     pub cpus: i64,
     pub gpus: i64,
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -121,7 +121,10 @@
             let machine = self.machine(&stored);
             machine.recorded = true;
             machine.inherited = true;
-            machine.images = stored.images;
+            machine.images.clone_from(&stored.images);
+            for image in stored.images {
+                self.warm.entry(image).or_default().insert(stored.name.clone());
+            }
         }
         let most = self.config.record_machines.max(1);
         let mut keys = Vec::new();
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -173,7 +173,10 @@
                 if machine.tasks.get(&task.id).is_some_and(|t| t.status != TaskStatus::Running) {
                     debug!(task = %task.id, machine = name, "runs");
                 }
-                machine.images_changed |= machine.images.insert(image.clone());
+                if machine.images.insert(image.clone()) {
+                    machine.images_changed = true;
+                    self.warm.entry(image.clone()).or_default().insert(name.to_string());
+                }
             }
             match machine.tasks.get_mut(&task.id) {
                 Some(placed) if placed.attempt == task.attempt || !placed.seen => {
