--- a/crates/dockpier-drain-report/src/main.rs
+++ b/crates/dockpier-drain-report/src/main.rs
@@ -20,16 +20,17 @@
     out: PathBuf,
 }
 
-/// Fleets beyond this are not emptied one machine after the other.
-const ONE_BY_ONE_MOST: usize = 500;
+/// Fleets beyond this are emptied in two ways only.
+const ALL_WAYS_MOST: usize = 500;
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     let mut runs = Vec::new();
     for machines in &arguments.machines {
-        // One machine after the other takes hours of virtual time beyond a few hundred.
+        // One machine after the other takes hours of virtual time beyond a few hundred, and every way minutes.
         let ways = measure::Way::all().into_iter();
-        let slow = |way: &measure::Way| *way == measure::Way::OneByOne && *machines > ONE_BY_ONE_MOST;
+        let large = *machines > ALL_WAYS_MOST;
+        let slow = |way: &measure::Way| large && !measure::Way::OF_LARGE_FLEETS.contains(way);
         for way in ways.filter(|way| !slow(way)) {
             let run = measure::replace_fleet(*machines, way);
             println!("{run}");
--- a/crates/dockpier-drain-report/src/measure.rs
+++ b/crates/dockpier-drain-report/src/measure.rs
@@ -20,6 +20,9 @@
 }
 
 impl Way {
+    /// The ways that are played with thousands of machines.
+    pub const OF_LARGE_FLEETS: [Way; 2] = [Way::Budget(0.05), Way::AllAtOnce];
+
     /// The ways that are compared.
     pub fn all() -> [Way; 5] {
         [Way::Budget(0.02), Way::Budget(0.05), Way::Budget(0.2), Way::OneByOne, Way::AllAtOnce]
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -172,7 +172,7 @@
             Command::Heard { node, machines, covers, fresh } => {
                 if fresh {
                     // A lessee that crashes has forgotten whom it answered; its first word seemed to cover
-                    // that too, and a leader counted leases as over that ran (leadership_tests).
+                    // that too, and a leader counted leases as over that ran (`leadership::tests`).
                     self.kept_alive_until(self.now);
                 }
                 return self.heard_through(node, machines, covers);
