--- a/crates/dockpier-virtual-fleet/src/history.rs
+++ b/crates/dockpier-virtual-fleet/src/history.rs
@@ -66,21 +66,21 @@
         }
     }
 
-    pub(crate) fn ordered(&mut self, _now: u64, id: TaskId, attempt: u64, _machine: &str) {
+    pub(crate) fn order(&mut self, id: TaskId, attempt: u64) {
         *self.orders.entry((id, attempt)).or_default() += 1;
     }
 
-    pub(crate) fn saved(&mut self, _now: u64, id: TaskId) {
+    pub(crate) fn saved(&mut self, id: TaskId) {
         self.saved.insert(id);
     }
 
-    pub(crate) fn finished(&mut self, _now: u64, id: TaskId, machine: &str) {
+    pub(crate) fn finished(&mut self, id: TaskId, machine: &str) {
         self.finished.insert(id);
         self.leave(id, machine);
     }
 
     /// A task ended without finishing.
-    pub(crate) fn ended(&mut self, now: u64, id: TaskId, machine: &str, _lost: bool) {
+    pub(crate) fn ended(&mut self, now: u64, id: TaskId, machine: &str) {
         if !self.leave(id, machine) {
             return;
         }
@@ -95,7 +95,7 @@
 
     pub(crate) fn lose_machine(&mut self, now: u64, worker: &mut Worker) {
         let tasks = std::mem::take(&mut worker.tasks);
-        tasks.keys().for_each(|id| self.ended(now, *id, &worker.name, true));
+        tasks.keys().for_each(|id| self.ended(now, *id, &worker.name));
     }
 
     fn leave(&mut self, id: TaskId, machine: &str) -> bool {
@@ -148,6 +148,16 @@
         }
     }
 
+    /// Tasks that run now.
+    pub fn running_tasks(&self) -> usize {
+        self.running.values().filter(|on| !on.is_empty()).count()
+    }
+
+    /// Orders to start so far.
+    pub fn ordered(&self) -> usize {
+        self.orders.values().sum()
+    }
+
     /// Replicas that serve now.
     pub fn running_now(&self) -> usize {
         let services =
--- a/crates/dockpier-virtual-fleet/src/store.rs
+++ b/crates/dockpier-virtual-fleet/src/store.rs
@@ -31,6 +31,8 @@
     pub out: bool,
     /// Changes are carried out, and their answers are lost.
     pub answers_lost: bool,
+    /// Changes so far.
+    pub writes: usize,
     /// Changes for drains so far.
     pub drain_writes: usize,
     machines: BTreeMap<String, Vec<StoredMachine>>,
@@ -70,6 +72,7 @@
             (false, false) => Outcome::Done,
         };
         let takes = !self.out;
+        self.writes += 1;
         match effect {
             Effect::Record { key, machines } => {
                 if takes && machines.is_empty() {
--- a/crates/dockpier-virtual-fleet/src/worker.rs
+++ b/crates/dockpier-virtual-fleet/src/worker.rs
@@ -108,7 +108,7 @@
             return;
         }
         if now > self.answered_at + lease {
-            self.tasks.keys().for_each(|id| history.ended(now, *id, &self.name, true));
+            self.tasks.keys().for_each(|id| history.ended(now, *id, &self.name));
             self.tasks.clear();
             self.session += 1;
             self.answered_at = now;
@@ -123,11 +123,11 @@
                 }
                 TaskStatus::Running => {
                     (task.status, task.until) = (TaskStatus::Exited(ExitReason::Done), u64::MAX);
-                    history.finished(now, *id, name);
+                    history.finished(*id, name);
                 }
                 TaskStatus::Saving => {
                     (task.status, task.until) = (TaskStatus::Exited(ExitReason::Stopped), u64::MAX);
-                    history.ended(now, *id, name, false);
+                    history.ended(now, *id, name);
                 }
                 TaskStatus::Exited(_) => {}
             }
@@ -158,7 +158,7 @@
                     true => 0.0,
                     false => IMAGE_GB / FETCH_GB_PER_S,
                 };
-                history.ordered(now, *id, *attempt, &self.name);
+                history.order(*id, *attempt);
                 let until = now + limits::micros(fetch);
                 let task = WorkerTask { attempt: *attempt, status: TaskStatus::Fetching, until };
                 self.tasks.entry(*id).or_insert(task);
@@ -169,13 +169,13 @@
                 };
                 match task.status {
                     TaskStatus::Running if *grace_s > 0.0 => {
-                        history.saved(now, *id);
+                        history.saved(*id);
                         let until = now + limits::micros(*grace_s / 2.0);
                         (task.status, task.until) = (TaskStatus::Saving, until);
                     }
                     TaskStatus::Running | TaskStatus::Fetching => {
                         (task.status, task.until) = (TaskStatus::Exited(ExitReason::Stopped), u64::MAX);
-                        history.ended(now, *id, &self.name, false);
+                        history.ended(now, *id, &self.name);
                     }
                     TaskStatus::Saving | TaskStatus::Exited(_) => {}
                 }
--- a/src/core/reconciliation.rs
+++ b/src/core/reconciliation.rs
@@ -7,6 +7,11 @@
 use tracing::info;
 
 impl Core {
+    /// Whether all machines of earlier leaders are accounted for.
+    pub fn is_reconciled(&self) -> bool {
+        self.reconciled
+    }
+
     pub fn usable(&self, machine: &Machine) -> bool {
         machine.phase == Phase::Up
             && machine.reconciled
