Draining: a ledger that can't be read counts as a budget spent for a window

Need: what a new leader cannot know counts high; an unreadable ledger was taken for an empty one. Change: its team's budget is spent at the takeover; the record is written anew from there. Tests of unreadable requests, parts and ledgers.

--- a/crates/dockpier-virtual-fleet/src/lib.rs
+++ b/crates/dockpier-virtual-fleet/src/lib.rs
@@ -11,7 +11,6 @@
 pub use store::Store;
 pub use worker::{Worker, WorkerTask};
 
-use dockpier::core::drains::LoadedDrains;
 use dockpier::core::model::*;
 use dockpier::core::{Command, Config, Core, Effect, ListedMachine, Outcome, StoredJob, StoredMachine};
 use dockpier::limits::{self, SECOND};
@@ -425,8 +424,7 @@
         };
         let mut batch = vec![Command::Types(vec![machine_type])];
         if self.layout.operator.draining.enabled {
-            let LoadedDrains { requests, progress, ledgers } = self.store.loaded_drains();
-            batch.push(Command::LoadDrains(LoadedDrains { requests, progress, ledgers }));
+            batch.push(Command::LoadDrains(self.store.loaded_drains()));
         }
         let readable =
             self.store.jobs.values().filter(|job| !self.store.unreadable.contains(&job.spec.job_id));
--- a/crates/dockpier-virtual-fleet/src/store.rs
+++ b/crates/dockpier-virtual-fleet/src/store.rs
@@ -21,6 +21,8 @@
     pub summaries: BTreeMap<DrainId, Summary>,
     /// The teams' disruption.
     pub ledgers: BTreeMap<String, LedgerRecord>,
+    /// Teams whose ledger can't be read.
+    pub unreadable_ledgers: Vec<String>,
     /// Parts of each drain's machines.
     pub progress: BTreeMap<DrainId, BTreeMap<usize, Chunk>>,
     /// The report of the last cold start.
@@ -51,6 +53,7 @@
             requests: self.requests.values().cloned().collect(),
             progress: self.progress.iter().map(|(id, chunks)| (id.clone(), parts(chunks))).collect(),
             ledgers: self.ledgers.clone(),
+            unreadable_ledgers: self.unreadable_ledgers.clone(),
         }
     }
 
--- a/src/core/drains/store.rs
+++ b/src/core/drains/store.rs
@@ -4,6 +4,7 @@
 use super::super::{Core, Effect, Outcome};
 use super::{Drain, Drains, TeamDisruption, Writing};
 use crate::limits;
+use dockpier_drain::budget::Cost;
 use dockpier_drain::ledger::{Ledger, LedgerRecord};
 use dockpier_drain::progress::{Chunk, Progress};
 use dockpier_drain::request::{DrainId, StoredRequest};
@@ -43,6 +44,8 @@
     pub progress: BTreeMap<DrainId, Vec<Chunk>>,
     /// The teams' disruption.
     pub ledgers: BTreeMap<String, LedgerRecord>,
+    /// Teams whose ledger can't be read: their budgets count as spent for a whole window.
+    pub unreadable_ledgers: Vec<String>,
 }
 
 impl Drain {
@@ -80,17 +83,25 @@
             let (ledger, as_of) = (Ledger::restore(record), Some(record.as_of));
             (team.clone(), TeamDisruption { ledger, as_of, ..TeamDisruption::default() })
         });
+        let mut teams: BTreeMap<String, TeamDisruption> = teams.collect();
+        for team in stored.unreadable_ledgers {
+            teams.insert(team.clone(), self.spent_budget(&team));
+        }
         let day_offset = self.drains.day_offset;
-        self.drains = Drains {
-            loaded: true,
-            drains: drains.collect(),
-            teams: teams.collect(),
-            day_offset,
-            ..Drains::default()
-        };
+        self.drains =
+            Drains { loaded: true, drains: drains.collect(), teams, day_offset, ..Drains::default() };
         self.mark_drained_machines();
     }
 
+    /// What nobody can know counts high: the whole budget is spent now.
+    fn spent_budget(&self, team: &str) -> TeamDisruption {
+        let (day, budget) = (self.day_ms(), self.budget_of(team));
+        let mut ledger = Ledger::default();
+        let all = ledger.lose(day, &budget, false, budget.cost);
+        ledger.settle(all, day, Cost::NONE);
+        TeamDisruption { ledger, ..TeamDisruption::default() }
+    }
+
     /// What operators ask for has changed.
     pub(in super::super) fn take_drain_requests(&mut self, requests: Vec<StoredRequest>) {
         if !self.drains.loaded {
--- a/src/drains/records.rs
+++ b/src/drains/records.rs
@@ -122,10 +122,14 @@
             None => false,
         }
     });
-    let read_ledger = |team: &Team| -> Option<(String, LedgerRecord)> {
+    let (mut readable, mut unreadable_ledgers) = (BTreeMap::new(), Vec::new());
+    for team in teams {
         let key = ledger_key(&team.name);
-        let record = ledgers.iter().find(|record| record.key == key)?;
-        Some((team.name.clone(), read(record)?))
-    };
-    Ok(LoadedDrains { requests, progress: by_drain, ledgers: teams.iter().filter_map(read_ledger).collect() })
+        let Some(record) = ledgers.iter().find(|record| record.key == key) else { continue };
+        match read::<LedgerRecord>(record) {
+            Some(ledger) => drop(readable.insert(team.name.clone(), ledger)),
+            None => unreadable_ledgers.push(team.name.clone()),
+        }
+    }
+    Ok(LoadedDrains { requests, progress: by_drain, ledgers: readable, unreadable_ledgers })
 }
--- a/tests/draining.rs
+++ b/tests/draining.rs
@@ -468,3 +468,17 @@
     let ordered = fleet.history.orders.keys().filter(|(id, _)| id.job_id.0 == 9).count();
     assert_eq!(running(&fleet, |id| id.0 == 9), ordered, "a task was stopped for its place");
 }
+
+/// What can't be known counts high: a ledger that can't be read is a budget spent, for a window.
+#[test]
+fn a_ledger_that_can_t_be_read_counts_as_spent() {
+    let agreed = budget(1, 100.0, 120.0);
+    let mut fleet = with_services(layout_of(&[("t", agreed)], 2), 2, 4);
+    fleet.store.unreadable_ledgers = vec!["t".into()];
+    fleet.change_leader();
+    fleet.store.unreadable_ledgers.clear();
+    fleet.drain(request("all", Target::All {}, true));
+    fleet.run(60.0);
+    assert!(fleet.history.disruptions.is_empty());
+    assert!(fleet.run_until(900.0, |fleet| is_finished(fleet, "all")), "{:?}", summary(&fleet, "all"));
+}
--- a/tests/loopback/draining.rs
+++ b/tests/loopback/draining.rs
@@ -1,8 +1,12 @@
 //! Draining over loopback: twenty machines are replaced in steps under services, arrays and a gang, while the leader
 //! ends and a worker hangs. What counts are the workers' own records.
 
+use crate::late_writes::leader;
 use crate::standins::{self, CloudState, Seen};
 use crate::{on_runtime, start_in_zones, submission, User};
+use dockpier::drains::records;
+use dockpier::settings::Team;
+use dockpier::store::write;
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -278,3 +282,32 @@
         assert!(code == 4 && complaint.contains("Nothing was changed"), "{complaint}");
     });
 }
+
+/// A record that can't be read harms its own drain alone: what it speaks of is left as it is.
+#[test]
+fn an_unreadable_record_of_a_drain_is_skipped_with_its_drain() {
+    on_runtime(async {
+        let (_state, store, versions) = leader().await;
+        let request = |id: &str| json!({"request": {"id": id, "target": {"all": {}}, "reason": "test"}, "accepted": 1, "wish": "run"});
+        let part = json!({"machines": [{"machine": "m-000001", "state": {"cordoned": {}}}]});
+        for (key, value) in [
+            ("drains/requests/good", request("good")),
+            ("drains/progress/good/00000", part.clone()),
+            ("drains/requests/half", request("half")),
+            ("drains/progress/half/00000", part),
+            ("drains/progress/half/00001", json!(7)),
+            ("drains/requests/spoilt", json!({"wish": "run"})),
+            ("drains/requests/new", request("new")),
+            ("drains/ledgers/team", json!("spoilt")),
+        ] {
+            versions.commit(&store, Vec::new(), vec![write(key, value).unwrap()]).await;
+        }
+        let team = Team { name: "team".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 };
+        let loaded = records::load(&store, &versions, &[team]).await.unwrap();
+        let ids: Vec<&str> = loaded.requests.iter().map(|stored| stored.request.id.as_str()).collect();
+        assert_eq!(ids, ["good", "new"], "one whose parts can't all be read is left alone");
+        let parts: Vec<&str> = loaded.progress.keys().map(|id| id.as_str()).collect();
+        assert_eq!(parts, ["good"]);
+        assert!(loaded.ledgers.is_empty() && loaded.unreadable_ledgers == ["team"]);
+    });
+}
--- a/tests/loopback/late_writes.rs
+++ b/tests/loopback/late_writes.rs
@@ -11,7 +11,8 @@
 /// A machine record, and a record of finished tasks.
 const RECORDS: [&str; 2] = ["fleet/machines/7-1", "done/job-000412/0"];
 
-async fn leader() -> (std::sync::Arc<std::sync::Mutex<standins::State>>, Store, RecordVersions) {
+/// A leader's client of a state service of its own.
+pub async fn leader() -> (std::sync::Arc<std::sync::Mutex<standins::State>>, Store, RecordVersions) {
     let (state, address) = standins::state_service().await;
     let limits = StateLimits { rps: 1_000.0, write_rps: 500.0, value_kb: 8.0, txn_ops: 8, next: None };
     let store = Store::new(Http::new().unwrap(), address, Clock::start(), &limits, 3);
