--- a/crates/dockpier-cold-start-report/src/measure.rs
+++ b/crates/dockpier-cold-start-report/src/measure.rs
@@ -18,23 +18,23 @@
 /// The figures of a run, in the order of the columns.
 #[derive(Debug, Clone, Copy)]
 pub struct Run {
-    /// Machines, and for how long nobody led.
+    /// Machines.
     pub machines: i64,
     /// Seconds for which nobody led.
     pub away_s: f64,
     /// The phase was turned on.
     pub enabled: bool,
-    /// Seconds until every machine was accounted for, until every service served, and until all ran.
+    /// Seconds until every machine was accounted for.
     pub reconciled_s: f64,
     /// Seconds until every service served.
     pub services_s: f64,
     /// Seconds until everything ran.
     pub whole_s: f64,
-    /// Orders at the workers in all, and the most in one second.
+    /// Orders at the workers.
     pub orders: i64,
     /// The most orders in one second.
     pub peak_orders: i64,
-    /// Tasks that were lost, and tasks that ran twice.
+    /// Tasks that were lost.
     pub lost: i64,
     /// Tasks that were on two machines at once.
     pub ran_twice: i64,
--- a/crates/dockpier-drain-report/src/measure.rs
+++ b/crates/dockpier-drain-report/src/measure.rs
@@ -42,8 +42,9 @@
 /// What a run showed.
 #[derive(Debug, Clone)]
 pub struct Run {
-    /// Machines of the fleet, and replicas on it.
+    /// Machines of the fleet.
     pub machines: usize,
+    /// Replicas on them.
     pub replicas: usize,
     /// How it was emptied.
     pub way: Way,
--- a/src/core/cold_start.rs
+++ b/src/core/cold_start.rs
@@ -47,9 +47,9 @@
     pub phase: Phase,
     /// The leader's token.
     pub token: u64,
-    /// When the leader had loaded the stored state, in milliseconds of the time of day, and when this was written.
+    /// When the leader had loaded the stored state, in milliseconds of the time of day.
     pub began_ms: u64,
-    /// When this was written.
+    /// When this was written, in milliseconds of the time of day.
     pub updated_ms: u64,
     /// Milliseconds until every machine was accounted for.
     pub reconciled_after_ms: Option<u64>,
@@ -59,7 +59,7 @@
     pub machines: MachineCounts,
     /// Tasks by verdict; from the moment of reconciliation on as they were then.
     pub verdicts: Counts,
-    /// Orders issued for inherited tasks, and inherited missing tasks that wait for one.
+    /// Orders issued for inherited tasks.
     pub orders: u64,
     /// Inherited missing tasks without an order.
     pub not_ordered: usize,
