Draining: one rule each for pending stops, tasks that run on and gangs that can be told

Need: on reading again, the stops that wait for the store were gathered in three places, and whether a task runs on and whether a gang can be told at once were written beside their twins; whole jobs were looked for where only replicas ask, and kept rooms worked out three times a step. Change: Drains::pending_stops, disruption::runs_on, Core::can_be_told_at_once (which stop_gang had inline), kept rooms once a step. Behaviour as before.

--- a/src/core/drains/disruption.rs
+++ b/src/core/drains/disruption.rs
@@ -142,7 +142,7 @@
 }
 
 /// It runs, and nobody has told it to stop.
-fn runs_on(task: &Placed) -> bool {
+pub(super) fn runs_on(task: &Placed) -> bool {
     task.status == TaskStatus::Running && task.stopping.is_none()
 }
 
--- a/src/core/drains/emptying.rs
+++ b/src/core/drains/emptying.rs
@@ -3,6 +3,7 @@
 use super::super::model::{Job, Kind, Machine, Phase, TaskId, TaskStatus};
 use super::super::place::{self, ZoneCount};
 use super::super::Core;
+use super::disruption::runs_on;
 use super::holds::KeptRooms;
 use super::{Move, OpenDisruption, PendingStop};
 use crate::limits;
@@ -161,7 +162,7 @@
             checkpoint_s: job.spec.checkpoint_s,
             save_s: job.spec.save_s,
             move_s: if look { move_s } else { Some(self.down_s(job, None)) },
-            job_whole: self.is_whole(job),
+            job_whole: job.spec.kind == Kind::Service && self.is_whole(job),
             gang_tasks: job.spec.tasks,
             gang_reachable: job.spec.kind == Kind::Gang && self.gang_is_reachable(job),
             late: cordoned.late,
@@ -170,21 +171,17 @@
     }
 
     fn is_pending(&self, id: TaskId) -> bool {
-        let mut pending =
-            self.drains.teams.values().flat_map(|team| team.pending.iter().chain(&team.in_write));
-        pending.any(|stop| stop.task == id)
+        self.drains.pending_stops().any(|stop| stop.task == id)
     }
 
     /// All tasks of the job run, none is on its way, and no stop of one is being prepared.
     fn is_whole(&self, job: &Job) -> bool {
         let same = |id: &TaskId| id.job_id == job.spec.job_id;
         let moving = self.drains.moves.keys().any(same) || self.drains.disrupted.keys().any(same);
-        let mut pending =
-            self.drains.teams.values().flat_map(|team| team.pending.iter().chain(&team.in_write));
         job.waiting.is_empty()
             && !moving
-            && !pending.any(|stop| same(&stop.task))
-            && self.placed(job).all(|(_, _, t)| t.status == TaskStatus::Running && t.stopping.is_none())
+            && !self.drains.pending_stops().any(|stop| same(&stop.task))
+            && self.placed(job).all(|(_, _, task)| runs_on(task))
     }
 
     /// For how long a replica is down that is stopped here and started on a machine, or on one without its image: the
@@ -238,13 +235,9 @@
     }
 
     fn gang_is_reachable(&self, job: &Job) -> bool {
-        let silent = limits::silent(self.config.workers.report_s);
         job.waiting.is_empty()
-            && self.placed(job).all(|(_, name, task)| {
-                let machine = self.machines.get(name);
-                task.status == TaskStatus::Running
-                    && machine.is_some_and(|m| self.now < m.heard + silent && m.unheard == 0)
-            })
+            && self.can_be_told_at_once(job)
+            && self.placed(job).all(|(_, _, task)| task.status == TaskStatus::Running)
     }
 
     /// Sets the estimate aside; the stop follows when that is stored.
@@ -309,13 +302,12 @@
         }
         let Some(machine) = self.machines.get(&stop.machine) else { return false };
         let Some(task) = machine.tasks.get(&stop.task) else { return false };
-        let runs = task.status == TaskStatus::Running && task.stopping.is_none();
         let kept = self.kept_rooms();
         let place_is_there = stop.to.as_ref().is_none_or(|to| {
             let machine = self.machines.get(to);
             machine.is_some_and(|m| self.usable(m) && job.spec.needs.fits(&kept.free(m)))
         });
-        runs && self.drains.is_cordoned(&stop.machine) && place_is_there
+        runs_on(task) && self.drains.is_cordoned(&stop.machine) && place_is_there
     }
 
     /// Another task of the gang has just been told.
--- a/src/core/drains/holds.rs
+++ b/src/core/drains/holds.rs
@@ -24,8 +24,7 @@
     /// What replicas that move, or are about to, need where they go.
     pub(super) fn kept_rooms(&self) -> KeptRooms {
         let mut kept: BTreeMap<String, Resources> = BTreeMap::new();
-        let pending = self.drains.teams.values().flat_map(|team| team.pending.iter().chain(&team.in_write));
-        let pending = pending.filter_map(|stop| Some((&stop.task, stop.to.as_ref()?)));
+        let pending = self.drains.pending_stops().filter_map(|stop| Some((&stop.task, stop.to.as_ref()?)));
         let moves = self.drains.moves.iter().map(|(id, to)| (id, &to.to));
         for (id, to) in moves.chain(pending) {
             let Some(job) = self.jobs.get(&id.job_id) else { continue };
--- a/src/core/drains/mod.rs
+++ b/src/core/drains/mod.rs
@@ -164,6 +164,11 @@
 }
 
 impl Drains {
+    /// Stops whose estimates are not stored yet.
+    fn pending_stops(&self) -> impl Iterator<Item = &PendingStop> {
+        self.teams.values().flat_map(|team| team.pending.iter().chain(&team.in_write))
+    }
+
     /// Takes nothing new.
     pub fn is_cordoned(&self, machine: &str) -> bool {
         self.cordoned.contains(machine)
--- a/src/core/drains/step.rs
+++ b/src/core/drains/step.rs
@@ -1,7 +1,8 @@
 //! The next step: which machines are replaced or cordoned now.
 
-use super::super::model::{Job, Kind, Machine, Phase, Resources, TaskStatus};
+use super::super::model::{Job, Kind, Machine, Phase, Resources};
 use super::super::Core;
+use super::disruption::runs_on;
 use super::holds::KeptRooms;
 use crate::limits;
 use dockpier_drain::budget::Cost;
@@ -20,7 +21,8 @@
             return;
         }
         let caps = self.caps(&drains);
-        let candidates = self.candidates(&drains, &caps);
+        let kept = self.kept_rooms();
+        let candidates = self.candidates(&drains, &caps, &kept);
         if candidates.is_empty() {
             return;
         }
@@ -28,7 +30,7 @@
             machines: caps.iter().sum(),
             drains: caps,
             teams: self.allowances_beyond_cordoned(&candidates),
-            zones: self.zone_room(),
+            zones: self.zone_room(&kept),
         };
         let choice = plan::choose(&candidates, &limits, limits::DRAIN_SOLVER_S);
         debug!(chosen = choice.chosen.len(), candidates = candidates.len(), method = ?choice.method, "drain step");
@@ -63,10 +65,9 @@
     }
 
     /// Machines that nothing has happened to, a few more than may begin: those with least on them first.
-    fn candidates(&mut self, drains: &[DrainId], caps: &[usize]) -> Vec<Candidate> {
+    fn candidates(&mut self, drains: &[DrainId], caps: &[usize], kept: &KeptRooms) -> Vec<Candidate> {
         let mut all = Vec::new();
         let mut taken = self.drains.begun.clone();
-        let kept = self.kept_rooms();
         for (at, id) in drains.iter().enumerate() {
             let waiting: Vec<String> = self.drains.drains[id]
                 .progress
@@ -87,7 +88,7 @@
                 .take(caps[at] * limits::DRAIN_CANDIDATES)
                 .collect();
             let machines = here.iter().filter_map(|name| self.machines.get(name));
-            all.extend(machines.map(|machine| self.candidate(at, machine, replace, &kept)));
+            all.extend(machines.map(|machine| self.candidate(at, machine, replace, kept)));
         }
         all
     }
@@ -139,7 +140,7 @@
         for (id, task) in &machine.tasks {
             let service = |job: &&Job| job.spec.kind == Kind::Service && !job.over;
             let Some(job) = self.jobs.get(&id.job_id).filter(service) else { continue };
-            if task.status == TaskStatus::Running && task.stopping.is_none() {
+            if runs_on(task) {
                 let expected = teams.entry(job.spec.team.clone()).or_default();
                 expected.together = 1;
                 expected.cost = expected.cost.plus(Cost::replica(self.down_s(job, None)));
@@ -169,9 +170,8 @@
     }
 
     /// Room for what moves on machines that stay, and places that can be spared.
-    fn zone_room(&self) -> BTreeMap<String, ZoneRoom> {
-        let kept = self.kept_rooms();
-        let mut spare = self.spare_places(&kept);
+    fn zone_room(&self, kept: &KeptRooms) -> BTreeMap<String, ZoneRoom> {
+        let mut spare = self.spare_places(kept);
         let mut zones: BTreeMap<String, ZoneRoom> = BTreeMap::new();
         for zone in &self.config.zones {
             let spare_places = spare.remove(zone).unwrap_or(0);
--- a/src/core/gang.rs
+++ b/src/core/gang.rs
@@ -91,17 +91,25 @@
     /// time to save and to wait for the others; told one after the other, or one alone, the save would fail.
     pub fn stop_gang(&mut self, job_id: JobId) {
         let Some(job) = self.jobs.get(&job_id).filter(|j| j.spec.kind == Kind::Gang) else { return };
-        let silent = limits::silent(self.config.workers.report_s);
-        let reachable = self.placed(job).all(|(_, name, _)| {
-            self.machines.get(name).is_some_and(|m| self.now < m.heard + silent && m.unheard == 0)
-        });
-        let grace = if reachable { job.spec.save_s + self.config.workers.gang_peer_s } else { 0.0 };
+        let grace = if self.can_be_told_at_once(job) {
+            job.spec.save_s + self.config.workers.gang_peer_s
+        } else {
+            0.0
+        };
         let places: Vec<_> = self.placed(job).map(|(id, machine, _)| (id, machine.to_string())).collect();
         for (id, machine) in places {
             self.stop(&machine, id, grace);
         }
     }
 
+    /// Every machine that holds a task of the job is heard, and hears us.
+    pub(super) fn can_be_told_at_once(&self, job: &Job) -> bool {
+        let silent = limits::silent(self.config.workers.report_s);
+        self.placed(job).all(|(_, name, _)| {
+            self.machines.get(name).is_some_and(|m| self.now < m.heard + silent && m.unheard == 0)
+        })
+    }
+
     /// In how many seconds the machine's next report is due, by which a start reaches it. A lessee tells of what it
     /// answered up to `BLOCK_TELL` later: a machine that seems due within that may well have just reported, and
     /// comes an interval later. Where reports are hardly rarer than that there is nothing to tell them apart by.
