Reproduction: a report overtaken by a direct answer renews a lease unnoted

A worker's answer to direct commands raises the sequence that the leader knows; a check-in that left the worker before it and arrives after it counts as late, is answered under the token, and is noted nowhere. The worker's lease runs on from it, the leader's count does not. Change: tests only. A deterministic case (one replica, one stop, one overtaken check-in), and the plain model with answers to direct commands, check-ins that are under way while their worker waits, machines that fall mute as jobs are cancelled, and the invariant that no lease is counted as over early.

--- a/tests/core_rules.rs
+++ b/tests/core_rules.rs
@@ -39,6 +39,10 @@
     drains: bool,
     /// Leaders keep unknown tasks until the store was asked, and order inherited ones at a pace.
     cold_start: bool,
+    /// Some reports take long to arrive while their worker waits, and direct commands are answered meanwhile.
+    slow_reports: bool,
+    /// Interval between reports, in seconds.
+    report_s: f64,
 }
 
 impl Deployment {
@@ -54,6 +58,8 @@
             write_steps: 1..3,
             drains: false,
             cold_start: false,
+            slow_reports: false,
+            report_s: 1.0,
         }
     }
 
@@ -90,6 +96,11 @@
         Deployment { cold_start: true, ..Deployment::with_drains() }
     }
 
+    /// Answers to direct commands overtake reports that left before them.
+    fn with_slow_reports() -> Self {
+        Deployment { slow_reports: true, report_s: 3.0, ..Deployment::of_one_team(0.0) }
+    }
+
     /// Machines are up within two seconds, and writes lag for up to four.
     fn of_quick_machines() -> Self {
         Deployment { boot_s: 0..2, write_steps: 1..40, ..Deployment::of_one_team(0.0) }
@@ -100,7 +111,7 @@
     Config {
         token,
         workers: Workers {
-            report_s: 1.0,
+            report_s: deployment.report_s,
             lease_s: LEASE_S,
             cancel_s: 40.0,
             gang_wait_s: 30.0,
@@ -205,10 +216,22 @@
     token: u64,
     lease_until: u64,
     next_report: u64,
+    /// Until then it waits for the answer to its last report, and sends none.
+    waits_until: u64,
     tasks: BTreeMap<TaskId, Running>,
     gone: BTreeSet<(TaskId, u64)>,
 }
 
+/// A report whose worker waits for the answer.
+struct Awaited {
+    machine: String,
+    session: u64,
+    sent: u64,
+}
+
+/// How long a worker waits for the answer to a report.
+const ANSWER_PATIENCE: u64 = 4 * SECOND;
+
 /// A controller that does not lead, and until when it and the leader do not hear one another.
 struct Lessee {
     block: Block,
@@ -247,7 +270,9 @@
     /// The last reports of each worker, for a copy of them to arrive anywhere.
     reported: BTreeMap<String, Vec<Report>>,
     orders_of_former_leaders: u64,
-    replies: BTreeMap<u64, String>,
+    /// Reports on their way to the leader, whose workers wait: when they arrive.
+    slow: Vec<(u64, Command)>,
+    replies: BTreeMap<u64, Awaited>,
     version: u64,
     machines_made: u64,
     starts: u64,
@@ -290,6 +315,7 @@
             held_orders: Vec::new(),
             reported: BTreeMap::new(),
             orders_of_former_leaders: 0,
+            slow: Vec::new(),
             replies: BTreeMap::new(),
             version: 0,
             machines_made: 0,
@@ -328,6 +354,7 @@
             }
         }
         self.replies.clear();
+        self.slow.clear();
         self.passed_on.clear();
         let jobs = self
             .live
@@ -392,10 +419,48 @@
                 worker.token = token;
                 self.orders_of_former_leaders += u64::from(token < self.token);
                 self.orders(&name, &orders);
+                if self.deployment.slow_reports && token == self.token {
+                    self.answer_orders(&name);
+                }
             }
         }
     }
 
+    /// The answer to direct commands is a report too, and reaches the leader before or after those under way.
+    fn answer_orders(&mut self, name: &str) {
+        let Some(report) = self.report(name) else { return };
+        let at = self.now + self.rng.random_range(0..3) * STEP;
+        self.later.push((at, Command::OrdersAnswered(report)));
+    }
+
+    /// What the worker reports next.
+    fn report(&mut self, name: &str) -> Option<Report> {
+        let worker = self.workers.get_mut(name)?;
+        worker.sequence += 1;
+        let status = |id: &TaskId, task: &Running| {
+            let gang = self.specs[&id.job_id].kind == Kind::Gang;
+            let waits = gang && !self.gangs.contains_key(&(id.job_id, task.attempt));
+            let status = if waits { TaskStatus::Fetching } else { TaskStatus::Running };
+            task.exited.map_or(status, TaskStatus::Exited)
+        };
+        let tasks = worker.tasks.iter();
+        let tasks = tasks
+            .map(|(id, t)| ReportedTask { id: *id, attempt: t.attempt, status: status(id, t) })
+            .collect();
+        Some(Report {
+            machine: name.to_string(),
+            address: String::new(),
+            machine_type: "m".into(),
+            zone: worker.zone.clone(),
+            spot: worker.spot,
+            session: worker.session,
+            sequence: worker.sequence,
+            token: worker.token,
+            notice_s: None,
+            tasks,
+        })
+    }
+
     fn step(&mut self) {
         self.now += STEP;
         let mut batch = Vec::new();
@@ -469,7 +534,8 @@
         let now = self.now;
         let names: Vec<String> = self.workers.keys().cloned().collect();
         for name in names {
-            let jitter = self.rng.random_range(750_000..1_250_000);
+            let interval = limits::micros(self.deployment.report_s);
+            let jitter = self.rng.random_range(interval / 4 * 3..interval / 4 * 5);
             let hold = self.rng.random_bool(0.03).then(|| now + self.rng.random_range(0..30 * SECOND));
             let Some(worker) = self.workers.get_mut(&name) else { continue };
             if worker.dead || now < worker.up_at {
@@ -487,33 +553,11 @@
                     worker.next_report = now;
                 }
             }
-            if now < worker.next_report || now < worker.mute_until {
+            if now < worker.next_report || now < worker.mute_until || now < worker.waits_until {
                 continue;
             }
             worker.next_report = now + jitter;
-            worker.sequence += 1;
-            let report = Report {
-                machine: name.clone(),
-                address: String::new(),
-                machine_type: "m".into(),
-                zone: worker.zone.clone(),
-                spot: worker.spot,
-                session: worker.session,
-                sequence: worker.sequence,
-                token: worker.token,
-                notice_s: None,
-                tasks: worker
-                    .tasks
-                    .iter()
-                    .map(|(id, t)| {
-                        let waits = self.specs[&id.job_id].kind == Kind::Gang
-                            && !self.gangs.contains_key(&(id.job_id, t.attempt));
-                        let status = if waits { TaskStatus::Fetching } else { TaskStatus::Running };
-                        let status = t.exited.map_or(status, TaskStatus::Exited);
-                        ReportedTask { id: *id, attempt: t.attempt, status }
-                    })
-                    .collect(),
-            };
+            let Some(report) = self.report(&name) else { continue };
             let copies = self.reported.entry(name.clone()).or_default();
             copies.push(report.clone());
             if copies.len() > 3 {
@@ -525,6 +569,9 @@
                 let late = self.rng.random_range(SECOND..4 * limits::micros(LEASE_S));
                 self.held.push((now + late, None, report.clone()));
             }
+            let slow = self.deployment.slow_reports && self.rng.random_bool(0.2);
+            let arrives = now + if slow { self.rng.random_range(1..15) * STEP } else { 0 };
+            let Some(worker) = self.workers.get_mut(&name) else { continue };
             if self.rng.random_bool(0.01) {
                 let via = self.rng.random_range(0..=LESSEES);
                 worker.via = (via < LESSEES).then_some(via);
@@ -559,10 +606,17 @@
                     }
                     self.passed_on.insert(reply, (node, report.clone()));
                 }
-                self.replies.insert(reply, name.clone());
-                batch.push(Command::Checkin { reply, report, via });
+                let awaited = Awaited { machine: name.clone(), session: worker.session, sent: now };
+                self.replies.insert(reply, awaited);
+                if slow {
+                    worker.waits_until = now + ANSWER_PATIENCE;
+                }
+                self.slow.push((arrives, Command::Checkin { reply, report, via }));
             }
         }
+        let (due, slow) = std::mem::take(&mut self.slow).into_iter().partition(|(at, _)| *at <= now);
+        self.slow = slow;
+        batch.extend(Vec::into_iter(due).map(|(_, command): (u64, Command)| command));
         let (due, held) = std::mem::take(&mut self.held).into_iter().partition(|(at, ..)| *at <= now);
         self.held = held;
         for (_, at, report) in Vec::<(u64, Option<usize>, Report)>::into_iter(due) {
@@ -618,18 +672,22 @@
                     lessee.block.passed(self.now, report, self.token, keep);
                 }
                 // Nobody waits for the answer to a copy.
-                let Some(name) = self.replies.remove(&reply) else { return };
+                let Some(Awaited { machine: name, session, sent }) = self.replies.remove(&reply) else {
+                    return;
+                };
                 // Some answers are lost on their way.
                 if self.rng.random_bool(0.05) {
                     return;
                 }
                 let (now, token) = (self.now, self.token);
                 let Some(worker) = self.workers.get_mut(&name) else { return };
-                if worker.token > token || worker.dead || now < worker.deaf_until {
+                let late = worker.session != session || now >= sent + ANSWER_PATIENCE;
+                if worker.token > token || worker.dead || now < worker.deaf_until || late {
                     return;
                 }
+                worker.waits_until = 0;
                 worker.token = token;
-                worker.lease_until = now + limits::micros(LEASE_S);
+                worker.lease_until = worker.lease_until.max(sent + limits::micros(LEASE_S));
                 self.orders(&name, &orders);
             }
             Effect::Direct { machine, session, orders, .. } => {
@@ -715,6 +773,7 @@
                         token: 0,
                         lease_until: up_at + limits::micros(LEASE_S),
                         next_report: up_at,
+                        waits_until: 0,
                         tasks: BTreeMap::new(),
                         gone: BTreeSet::new(),
                     };
@@ -814,7 +873,18 @@
         assert!(!spec.one_zone || zones.len() <= 1, "wrong_place: {id} breaks its one zone");
     }
 
+    /// An invariant of the core rather than a rule: it counts no lease as over that still runs.
+    fn check_leases(&self) {
+        for machine in self.core.machines.values().filter(|machine| machine.phase == Phase::Lost) {
+            let Some(worker) = self.workers.get(&machine.name) else { continue };
+            let runs = !worker.dead && worker.session == machine.session && self.now < worker.lease_until;
+            let early_s = worker.lease_until.saturating_sub(self.now) as f64 / SECOND as f64;
+            assert!(!runs, "{}: its lease is counted as over {early_s} s early", machine.name);
+        }
+    }
+
     fn check(&self) {
+        self.check_leases();
         let mut gpus: BTreeMap<&str, f64> = BTreeMap::new();
         for worker in self.workers.values().filter(|w| !w.dead && self.now < w.lease_until) {
             for (id, _) in worker.tasks.iter().filter(|(_, t)| t.exited.is_none()) {
@@ -837,6 +907,9 @@
         let pick = (!names.is_empty()).then(|| names[self.rng.random_range(0..names.len())].clone());
         let quick = self.deployment.boot_s.start == 0;
         let kind = if quick && self.rng.random_bool(0.5) { 16 } else { self.rng.random_range(0..17) };
+        if self.deployment.slow_reports && self.rng.random_bool(0.5) {
+            return self.mute_at_cancellation();
+        }
         let cut = self.now + self.rng.random_range(1..25) * SECOND;
         // A zone is cut off, or a third of all machines hang, perhaps past their leases, or the leader changes in it.
         if (9..12).contains(&kind) {
@@ -950,6 +1023,26 @@
         self.change_leader(2 * SECOND);
     }
 
+    /// Jobs are cancelled, and their machines reach no controller any more right after that. The cloud deletes
+    /// nothing meanwhile, so that only the end of their leases proves anything.
+    fn mute_at_cancellation(&mut self) {
+        let until = self.now + 25 * SECOND;
+        self.cloud_down_until = until;
+        let running: Vec<(String, JobId)> = self
+            .workers
+            .iter()
+            .filter(|(_, w)| !w.dead && w.up_at <= self.now)
+            .flat_map(|(name, w)| w.tasks.keys().map(move |id| (name.clone(), id.job_id)))
+            .collect();
+        for (name, job_id) in running.iter().step_by(4) {
+            self.cancel(*job_id);
+            (0..self.rng.random_range(0..4)).for_each(|_| self.step());
+            if let Some(worker) = self.workers.get_mut(name) {
+                worker.mute_until = until;
+            }
+        }
+    }
+
     /// Jobs of every team are cancelled whose machines are cut off or hang, and the leader changes.
     fn cancel_at_the_limit(&mut self, until: u64) {
         let running = |world: &World, name: &str| -> BTreeSet<JobId> {
@@ -1043,6 +1136,11 @@
     play_all(600..630, Deployment::with_cold_start());
 }
 
+#[test]
+fn the_rules_hold_when_answers_to_direct_commands_overtake_reports() {
+    play_all(700..760, Deployment::with_slow_reports());
+}
+
 #[test]
 fn a_team_limit_holds_across_changes_of_leader() {
     play_all(100..130, Deployment::of_one_team(6.0));
--- /dev/null
+++ b/tests/lease_accounting.rs
@@ -0,0 +1,211 @@
+//! Every answer that may renew a worker's lease is noted by the leader, whichever way the report came and whatever
+//! overtook it: a task is started elsewhere only once the lease that the last answer gave has surely ended.
+
+mod common;
+
+use common::spec;
+use dockpier::core::model::*;
+use dockpier::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob, StoredMachine};
+use dockpier::limits::{self, SECOND};
+use std::collections::{BTreeMap, BTreeSet};
+
+const REPORT_S: f64 = 3.0;
+const LEASE_S: f64 = 20.0;
+const STEP: u64 = SECOND / 10;
+/// The replica that must never run twice, and the job beside it that is cancelled.
+const REPLICA: TaskId = TaskId { job_id: JobId(1), task: 0 };
+const CANCELLED: JobId = JobId(2);
+
+/// A leader with two machines, on the first of which everything runs. The cloud deletes nothing.
+struct Cluster {
+    core: Core,
+    now: u64,
+    sequences: BTreeMap<String, u64>,
+    running: BTreeMap<String, BTreeMap<TaskId, u64>>,
+    /// Reports that were answered, by their numbers.
+    answered: BTreeSet<u64>,
+    stops_sent: bool,
+}
+
+fn machine_type() -> Command {
+    Command::Types(vec![MachineType {
+        name: "m".into(),
+        has: Resources::offered(2.0, 2.0, 2.0),
+        price: 1.0,
+        spot_price: None,
+        boot_s: 60.0,
+        fetch_gb_per_s: 1.0,
+        zones: vec!["a".into()],
+    }])
+}
+
+fn stored_machine(name: &str) -> StoredMachine {
+    StoredMachine {
+        name: name.into(),
+        machine_type: "m".into(),
+        zone: "a".into(),
+        spot: false,
+        address: String::new(),
+        images: BTreeSet::new(),
+    }
+}
+
+fn service(job_id: JobId) -> Command {
+    let spec = spec(job_id.0, Kind::Service, Priority::Critical, 1);
+    Command::JobAdded(StoredJob { spec, version: 1, age: 0, done: BTreeSet::new() })
+}
+
+impl Cluster {
+    /// Both replicas run on `m-000001`; `m-000002` comes up after that and is empty.
+    fn new() -> Self {
+        let workers =
+            dockpier::settings::Workers { report_s: REPORT_S, lease_s: LEASE_S, ..common::config().workers };
+        let operator = dockpier::settings::Operator {
+            reserve_services: 0,
+            idle_s: 36_000.0,
+            ..common::config().operator
+        };
+        let config = Config { workers, operator, zones: vec!["a".into()], ..common::config() };
+        let mut cluster = Cluster {
+            core: Core::new(config, SECOND),
+            now: SECOND,
+            sequences: BTreeMap::new(),
+            running: BTreeMap::new(),
+            answered: BTreeSet::new(),
+            stops_sent: false,
+        };
+        cluster.step(vec![machine_type(), Command::Load { jobs: vec![], records: vec![] }]);
+        for _ in 0..3 {
+            cluster.check_in("m-000001");
+        }
+        cluster.step(vec![service(REPLICA.job_id), service(CANCELLED)]);
+        for _ in 0..3 {
+            cluster.check_in("m-000001");
+        }
+        assert_eq!(cluster.running["m-000001"].len(), 2, "both replicas run on the first machine");
+        for _ in 0..3 {
+            cluster.check_in("m-000002");
+        }
+        cluster
+    }
+
+    fn step(&mut self, batch: Vec<Command>) {
+        self.now += STEP;
+        let mut outcomes = Vec::new();
+        for effect in self.core.step(self.now, batch) {
+            match effect {
+                Effect::Record { key, .. } => {
+                    outcomes.push(Command::Recorded { key, outcome: Outcome::Done })
+                }
+                Effect::Rent { request, .. } => {
+                    outcomes.push(Command::Rented { request, machines: None, outcome: Outcome::Refused });
+                }
+                Effect::Delete(machines) => {
+                    outcomes.push(Command::Deleted { machines, outcome: Outcome::Unknown });
+                }
+                Effect::Answer { reply, orders, .. } => {
+                    self.answered.insert(reply);
+                    let machine = if reply < 1_000 { "m-000001" } else { "m-000002" };
+                    self.carry_out(machine, &orders);
+                }
+                Effect::Direct { machine, .. } => self.stops_sent |= machine == "m-000001",
+                _ => {}
+            }
+        }
+        if !outcomes.is_empty() {
+            self.step(outcomes);
+        }
+    }
+
+    fn carry_out(&mut self, machine: &str, orders: &[Order]) {
+        let running = self.running.entry(machine.into()).or_default();
+        for order in orders {
+            match order {
+                Order::Start { id, attempt } => {
+                    running.insert(*id, *attempt);
+                }
+                Order::Stop { id, .. } | Order::Forget { id, .. } => {
+                    running.remove(id);
+                }
+            }
+        }
+    }
+
+    /// The worker's next report: the number under which it is answered, and what it says.
+    fn report(&mut self, machine: &str) -> (u64, Report) {
+        let sequence = self.sequences.entry(machine.into()).or_default();
+        *sequence += 1;
+        let reply = *sequence + if machine == "m-000001" { 0 } else { 1_000 };
+        let StoredMachine { name, machine_type, zone, spot, address, .. } = stored_machine(machine);
+        let tasks = self.running.get(machine).into_iter().flatten();
+        let tasks = tasks.map(|(id, attempt)| ReportedTask {
+            id: *id,
+            attempt: *attempt,
+            status: TaskStatus::Running,
+        });
+        let report = Report {
+            machine: name,
+            address,
+            machine_type,
+            zone,
+            spot,
+            session: 1,
+            sequence: *sequence,
+            token: if *sequence > 1 { 1 } else { 0 },
+            notice_s: None,
+            tasks: tasks.collect(),
+        };
+        (reply, report)
+    }
+
+    fn check_in(&mut self, machine: &str) {
+        let (reply, report) = self.report(machine);
+        self.step(vec![Command::Checkin { reply, report, via: None }]);
+    }
+
+    /// The first machine is silent from now on; returns when its replica is placed on the second.
+    fn placed_elsewhere(&mut self) -> u64 {
+        let until = self.now + 3 * limits::micros(LEASE_S);
+        let mut report_due = 0;
+        while self.now < until {
+            if self.now >= report_due {
+                report_due = self.now + limits::micros(REPORT_S);
+                self.check_in("m-000002");
+            } else {
+                self.step(vec![]);
+            }
+            if self.running.get("m-000002").is_some_and(|running| running.contains_key(&REPLICA)) {
+                return self.now;
+            }
+        }
+        panic!("the replica was never placed elsewhere");
+    }
+}
+
+/// The answer to direct stops reaches the leader before a report that left the worker earlier. The report's answer
+/// renewed the lease and was not noted: the replica was started elsewhere while it ran.
+#[test]
+fn a_report_overtaken_by_the_answer_to_direct_stops_renews_the_lease_at_the_leader() {
+    let mut cluster = Cluster::new();
+    // Its next report is due after a whole interval, and takes a while to arrive.
+    (0..25).for_each(|_| cluster.step(vec![]));
+    let (reply, report) = cluster.report("m-000001");
+    let sent = cluster.now;
+    cluster.step(vec![Command::JobRemoved(CANCELLED)]);
+    assert!(cluster.stops_sent, "the cancelled replica is stopped directly");
+    let (_, mut direct) = cluster.report("m-000001");
+    let stopped = direct.tasks.iter_mut().find(|task| task.id.job_id == CANCELLED).unwrap();
+    stopped.status = TaskStatus::Exited(ExitReason::Stopped);
+    // One batch of the owner: outcomes of its own requests come before check-ins.
+    let overtaken = Command::Checkin { reply, report, via: None };
+    cluster.step(vec![Command::OrdersAnswered(direct), overtaken]);
+    let answered = cluster.answered.contains(&reply);
+    let placed = cluster.placed_elsewhere();
+    let lease_ends = sent + limits::micros(LEASE_S);
+    assert!(
+        !answered || placed >= lease_ends,
+        "answered, and placed elsewhere {} s before the lease ended",
+        (lease_ends - placed) as f64 / SECOND as f64
+    );
+    assert!(placed < lease_ends + 8 * SECOND, "a lost machine keeps its replica away for long");
+}
