An answer that may renew a lease can only be built from the note of it

Cause: Core::checkin answered a check-in that a direct answer had overtaken with 200 under the token and noted nothing. Change: LeaseRenewal, which CheckinAnswer::new takes, comes only from the record that the answer was noted in (the leader's LastAnswer, a lessee's UnconfirmedAnswers) or from where another bound holds the leader back (before its load, lease keeper, relayed). Overtaken check-ins are noted and counted; copies, and reports of sessions or machines that are gone, are refused instead of answered, at the leader and at lessees. What a held check-in will renew is noted when it comes. The overview shows answers by their grounds and reports of which nothing was taken.

--- a/src/blocks.rs
+++ b/src/blocks.rs
@@ -8,8 +8,9 @@
 //! leader always knows until when somebody may have kept a worker alive.
 
 use crate::core::model::{Report, ReportedTask};
+use crate::lease_renewal::{LeaseRenewal, UnconfirmedAnswers};
 use crate::limits;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{HashMap, VecDeque};
 
 /// The last report of a machine that the leader knows.
 struct Kept {
@@ -41,6 +42,27 @@
     pub machines: Vec<String>,
 }
 
+/// What a lessee does with a report.
+#[derive(Debug, PartialEq, Eq)]
+pub enum BlockAnswer {
+    /// It answers by itself, under this token.
+    Renews(u64, LeaseRenewal),
+    /// A copy of an earlier report: nobody waits for an answer.
+    Copy,
+    /// The report is for the leader, or for another node.
+    NotOurs,
+}
+
+impl BlockAnswer {
+    /// The token that it answers with.
+    pub fn token(&self) -> Option<u64> {
+        match self {
+            BlockAnswer::Renews(token, _) => Some(*token),
+            _ => None,
+        }
+    }
+}
+
 #[derive(Default)]
 pub struct Block {
     /// Machines that it keeps at most.
@@ -50,8 +72,8 @@
     until: u64,
     kept: HashMap<String, Kept>,
     away: HashMap<String, Away>,
-    /// Machines answered here that the leader has not confirmed, and the first heartbeat to name them.
-    answered: BTreeMap<String, u64>,
+    /// Machines answered here that the leader has not confirmed.
+    answered: UnconfirmedAnswers,
     /// Words without confirmation: number, when, which machines.
     told: VecDeque<(u64, u64, Vec<String>)>,
     next: u64,
@@ -77,28 +99,26 @@
         self.until = until;
     }
 
-    /// The token to answer a report with, if this node may answer it without the leader.
-    pub fn answers(&mut self, now: u64, report: &Report, leader_heard: bool) -> Option<u64> {
+    /// Answers a report, if this node may do so without the leader.
+    pub fn answers(&mut self, now: u64, report: &Report, leader_heard: bool) -> BlockAnswer {
         // A worker that has seen a higher token drops ours and would sit here while its lease runs out.
         if report.token != self.token || now + limits::GUARD >= self.until {
-            return None;
+            return BlockAnswer::NotOurs;
         }
         let kept = self.kept.get(&report.machine);
         if kept.is_some_and(|k| (report.session, report.sequence) <= (k.session, k.sequence)) {
-            // A copy: nobody waits for the answer.
-            return Some(self.token);
+            return BlockAnswer::Copy;
         }
         let unchanged = kept.is_some_and(|k| {
             report.session == k.session && report.notice_s.is_none() && !k.woken && report.tasks == k.tasks
         });
         if !unchanged && (leader_heard || self.sends_away(now, report)) {
-            return None;
+            return BlockAnswer::NotOurs;
         }
         if let Some(kept) = self.kept.get_mut(&report.machine).filter(|_| unchanged) {
             (kept.sequence, kept.at) = (report.sequence, now);
         }
-        self.answered.insert(report.machine.clone(), self.next + 1);
-        Some(self.token)
+        BlockAnswer::Renews(self.token, self.answered.note(&report.machine, self.next + 1))
     }
 
     /// While no leader is heard, a worker of ours with news tries the other nodes first, since it may be only
@@ -156,7 +176,7 @@
             room = room.saturating_sub(name.len() + 1);
             room > 0
         };
-        let machines: Vec<String> = self.answered.keys().take_while(fits).cloned().collect();
+        let machines: Vec<String> = self.answered.names().take_while(fits).cloned().collect();
         let whole = machines.len() == self.answered.len();
         // The rest follows at once: what the leader confirms meanwhile need not be named again.
         self.tell_due = now + if whole { limits::BLOCK_TELL } else { limits::BLOCK_TELL_ON };
@@ -174,9 +194,7 @@
             if n == id {
                 self.until = self.until.max(sent + limits::shortened(lease));
                 for name in machines {
-                    if self.answered.get(&name).is_some_and(|first| *first <= id) {
-                        self.answered.remove(&name);
-                    }
+                    self.answered.confirm(&name, id);
                 }
             }
         }
--- a/src/controller/checkins.rs
+++ b/src/controller/checkins.rs
@@ -2,9 +2,10 @@
 //! sent elsewhere; and the frames about them between leader and lessees.
 
 use super::Controller;
-use crate::blocks::BlockHeartbeat;
+use crate::blocks::{BlockAnswer, BlockHeartbeat};
 use crate::core::model::Report;
 use crate::core::{Command, Order};
+use crate::lease_renewal::LeaseRenewal;
 use crate::limits;
 use crate::peer::{self, Payload};
 use crate::protocol::workers::{Checkin, CheckinAnswer};
@@ -78,9 +79,9 @@
                     Some(token) => {
                         let orders = self.leadership.cancellations.with_stops(orders, &report);
                         self.block.passed(now, report, token, keep);
-                        CheckinReply::Orders(CheckinAnswer::new(token, &orders))
+                        self.renewing(token, LeaseRenewal::relayed(), &orders)
                     }
-                    None => CheckinReply::Elsewhere(None),
+                    None => self.refusing(None),
                 };
                 let _ = to.send(reply);
             }
@@ -107,15 +108,36 @@
             }
             let PassedOn { to, report, .. } = entry.remove();
             let reply = self.holds(now, &report, false);
-            let _ = to.send(reply.unwrap_or(CheckinReply::Elsewhere(None)));
+            let reply = reply.unwrap_or_else(|| self.refusing(None));
+            let _ = to.send(reply);
         }
     }
 
+    /// An answer that renews a worker's lease.
+    fn renewing<'a>(
+        &mut self,
+        token: u64,
+        renewal: LeaseRenewal,
+        orders: impl IntoIterator<Item = &'a Order>,
+    ) -> CheckinReply {
+        self.answers.count(&renewal);
+        CheckinReply::Orders(CheckinAnswer::new(token, renewal, orders))
+    }
+
+    /// No answer here: the worker is to ask another node.
+    fn refusing(&mut self, leader: Option<String>) -> CheckinReply {
+        self.answers.count_refused();
+        CheckinReply::Elsewhere(leader)
+    }
+
     /// The answer of this node as a lessee, if it may answer by itself.
     pub(super) fn holds(&mut self, now: u64, report: &Report, leader_heard: bool) -> Option<CheckinReply> {
         let stops = self.keeps(now, report)?;
-        let token = self.block.answers(now, report, leader_heard)?;
-        Some(CheckinReply::Orders(CheckinAnswer::new(token, &stops)))
+        match self.block.answers(now, report, leader_heard) {
+            BlockAnswer::Renews(token, renewal) => Some(self.renewing(token, renewal, &stops)),
+            BlockAnswer::Copy => Some(self.refusing(None)),
+            BlockAnswer::NotOurs => None,
+        }
     }
 
     /// A check-in at a node that does not lead: answered by itself, passed on, or sent elsewhere.
@@ -143,7 +165,7 @@
         self.act(actions);
         let leader = self.leadership.leader_name(now).map(str::to_string);
         debug!(machine = report.machine, leader, "check-in sent elsewhere");
-        let _ = to.send(CheckinReply::Elsewhere(leader));
+        let _ = to.send(self.refusing(leader));
     }
 
     pub(super) fn checkin(
@@ -166,11 +188,12 @@
         // Before the jobs are loaded a leader knows no more than a lease keeper: the worker's lease runs on, and
         // there is nobody to say what it should do but stop what is cancelled.
         let loaded = self.core.as_ref().is_some_and(|core| core.loaded);
-        let cares = if loaded { None } else { leads }.or_else(|| self.leadership.lease_keeper(now));
-        if let Some(token) = cares {
+        let unloaded = leads.filter(|_| !loaded).map(|token| (token, LeaseRenewal::before_load()));
+        let keeper = || Some((self.leadership.lease_keeper(now)?, LeaseRenewal::by_lease_keeper()));
+        if let Some((token, renewal)) = unloaded.or_else(keeper) {
             let reply = match self.keeps(now, &report) {
-                Some(stops) => CheckinReply::Orders(CheckinAnswer::new(token, &stops)),
-                None => CheckinReply::Elsewhere(None),
+                Some(stops) => self.renewing(token, renewal, &stops),
+                None => self.refusing(None),
             };
             // The worker may have given up meanwhile.
             let _ = to.send(reply);
@@ -185,23 +208,31 @@
         commands.push(Command::Checkin { reply: self.next_reply, report, via: None });
     }
 
-    pub(super) fn answer(&mut self, reply: u64, orders: Vec<Order>, keep: bool) {
+    /// Gives the leader's answer to a check-in.
+    pub(super) fn answer(
+        &mut self,
+        reply: u64,
+        renewal: Option<LeaseRenewal>,
+        orders: Vec<Order>,
+        keep: bool,
+    ) {
         let Some(to) = self.replies.remove(&reply) else { return };
         // Checked again at the last moment: the round may have taken long.
         let now = self.clock.now();
         let known = now < self.leadership.cancellations.keeps_until();
-        let token = self.leadership.authority(now).filter(|_| known);
+        let entitled = self.leadership.authority(now).filter(|_| known).zip(renewal);
         let (to, stops) = match to {
             ReplyTo::Worker(to, stops) => (to, stops),
             ReplyTo::Lessee(node, id) => {
+                let token = entitled.map(|(token, _)| token);
                 self.send(node, Payload::Reply { id, token, keep, orders });
                 return;
             }
         };
         let missing = stops.iter().filter(|stop| !orders.contains(stop));
-        let reply = match token {
-            Some(token) => CheckinReply::Orders(CheckinAnswer::new(token, orders.iter().chain(missing))),
-            None => CheckinReply::Elsewhere(None),
+        let reply = match entitled {
+            Some((token, renewal)) => self.renewing(token, renewal, orders.iter().chain(missing)),
+            None => self.refusing(None),
         };
         let _ = to.send(reply);
     }
--- a/src/controller/effects.rs
+++ b/src/controller/effects.rs
@@ -36,7 +36,7 @@
     /// Carries out one effect of the core.
     pub(super) fn carry_out(&mut self, effect: Effect) {
         match effect {
-            Effect::Answer { reply, orders, keep } => self.answer(reply, orders, keep),
+            Effect::Answer { reply, renewal, orders, keep } => self.answer(reply, renewal, orders, keep),
             Effect::Wake { node, machine } => {
                 self.send(node, Payload::Wake(vec![machine]));
             }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -24,6 +24,7 @@
 use crate::fleet_limits::LimitWarnings;
 use crate::http::{wall_ms, Clock, Http};
 use crate::leadership::{Leadership, StoreAnswer};
+use crate::lease_renewal::AnswerCounts;
 use crate::limits;
 use crate::live::Reading;
 use crate::peer::{Payload, Received};
@@ -47,6 +48,8 @@
     pub node: String,
     pub leader: Option<String>,
     pub token: u64,
+    /// Answers to reports that this node gave, by what they rest on.
+    pub answers: AnswerCounts,
     #[serde(flatten)]
     pub core: Option<Overview>,
 }
@@ -85,6 +88,7 @@
     versions: RecordVersions,
     replies: BTreeMap<u64, ReplyTo>,
     next_reply: u64,
+    answers: AnswerCounts,
     /// The workers that report here while another node leads.
     block: Block,
     passed_on: BTreeMap<u64, PassedOn>,
--- a/src/controller/start.rs
+++ b/src/controller/start.rs
@@ -9,6 +9,7 @@
 use crate::fleet_limits::LimitWarnings;
 use crate::http::{Clock, Http};
 use crate::leadership::Leadership;
+use crate::lease_renewal::AnswerCounts;
 use crate::limits::{self, Capacity};
 use crate::peer::{self, Received, Sender};
 use crate::record_versions::RecordVersions;
@@ -151,6 +152,7 @@
         versions: RecordVersions::default(),
         replies: BTreeMap::new(),
         next_reply: 0,
+        answers: AnswerCounts::default(),
         block: Block::new(room.block),
         passed_on: BTreeMap::new(),
         leading: Vec::new(),
--- a/src/core/answers.rs
+++ b/src/core/answers.rs
@@ -2,6 +2,7 @@
 
 use super::model::*;
 use super::{Core, Effect, Order};
+use crate::lease_renewal::LeaseRenewal;
 
 impl Core {
     pub(super) fn stop_orders(machine: &Machine) -> impl Iterator<Item = Order> + '_ {
@@ -16,15 +17,28 @@
         own.chain(foreign)
     }
 
-    /// The answer to a check-in, which renews the machine's lease; and whether the node that it came
-    /// through may answer by itself what says nothing new.
-    pub fn answer(&mut self, name: &str) -> (Vec<Order>, bool) {
-        let now = self.now;
+    /// Notes that a check-in will be answered, which renews the machine's lease. None: the machine is gone.
+    pub(super) fn note_answer(&mut self, name: &str) -> Option<LeaseRenewal> {
+        match self.machines.get_mut(name) {
+            Some(machine) => Some(machine.answered.note(self.now)),
+            // A leader that has not loaded knows no machines; one that has knows that it is gone.
+            None => (!self.loaded).then(LeaseRenewal::before_load),
+        }
+    }
+
+    /// Answers a check-in.
+    pub(super) fn answer(&mut self, reply: u64, name: &str, renewal: Option<LeaseRenewal>) {
+        let (orders, keep) = self.orders_for(name);
+        self.effects.push(Effect::Answer { reply, renewal, orders, keep });
+    }
+
+    /// What the answer to a check-in tells the machine; and whether the node that it came through may answer by itself
+    /// what says nothing new.
+    fn orders_for(&mut self, name: &str) -> (Vec<Order>, bool) {
         let reconciled_and_recorded;
         let mut orders: Vec<Order>;
         {
             let Some(machine) = self.machines.get_mut(name) else { return (Vec::new(), false) };
-            machine.answered = now;
             machine.woken = false;
             machine.told_token = machine.via.is_none() && !machine.reconciled;
             orders = Self::stop_orders(machine).collect();
@@ -71,7 +85,7 @@
         lessee.confirmed = now;
         for name in names {
             let Some(machine) = self.machines.get_mut(&name) else { continue };
-            machine.answered = now;
+            machine.answered.note_told(now);
             machine.heard = now;
             // Come back to a lessee that still knew it, it says nothing new there, and was taken for silent on
             // the way that it had left; what it did elsewhere meanwhile the lessee can't tell.
--- a/src/core/messages.rs
+++ b/src/core/messages.rs
@@ -3,6 +3,7 @@
 use super::cold_start::{ColdStartReport, JobReading};
 use super::drains::{DrainKey, DrainValue, LoadedDrains};
 use super::model::*;
+use crate::lease_renewal::LeaseRenewal;
 use crate::settings::{Operator, Team, Workers};
 use dockpier_drain::request::StoredRequest;
 use std::collections::BTreeSet;
@@ -75,8 +76,10 @@
     News,
     /// It lists what the last one did.
     Unchanged,
-    /// A copy of one that was taken already, or from a machine that is gone.
-    Late,
+    /// Older than what direct commands were answered with: its list says nothing, but its worker waits.
+    Overtaken,
+    /// A copy of one that was taken already, or from a session or a machine that is gone: nobody waits.
+    Stale,
 }
 
 #[derive(Debug)]
@@ -159,6 +162,8 @@
 pub enum Effect {
     Answer {
         reply: u64,
+        /// None: nobody waits, and the answer must not renew a lease.
+        renewal: Option<LeaseRenewal>,
         orders: Vec<Order>,
         /// The node that passed the report on may answer the next ones by itself if they say nothing new.
         keep: bool,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -25,10 +25,12 @@
 
 pub use messages::*;
 
+use crate::lease_renewal::LeaseRenewal;
 use crate::limits;
 use drains::Drains;
 use fleet::Fleet;
 use model::*;
+use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 use tracing::{debug, info};
 
@@ -41,6 +43,24 @@
     confirmed: u64,
 }
 
+/// A check-in that waits for the next round of decisions. What its answer renews is noted already, so that no lease is
+/// counted as over while it waits.
+#[derive(Debug)]
+struct HeldCheckin {
+    reply: u64,
+    machine: String,
+    renewal: Option<LeaseRenewal>,
+}
+
+/// Check-ins of which nothing was taken in, since this leader began.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct ReportsIgnored {
+    /// Overtaken by the answer to direct commands.
+    pub overtaken: u64,
+    /// Copies, and reports of sessions or machines that are gone.
+    pub stale: u64,
+}
+
 pub struct Core {
     pub config: Config,
     pub now: u64,
@@ -66,7 +86,7 @@
     /// Probes of all rounds so far: what a test bounds instead of time.
     pub steps: u64,
     /// Check-ins whose reports brought news: answered by the next round, which may have a start for them.
-    held: Vec<(u64, String)>,
+    held: Vec<HeldCheckin>,
     expire_due: u64,
     /// Kinds of machine (type, zone, spot) of which earlier leaders' have not all reported.
     unreconciled: BTreeSet<fleet::Offer>,
@@ -79,6 +99,8 @@
     out_of_touch: BTreeMap<usize, u64>,
     failure_detector: failure_detection::FailureDetector,
     lessees: BTreeMap<usize, Lessee>,
+    /// Reports of which nothing was taken in.
+    reports_ignored: ReportsIgnored,
     /// Work of a job on average, as of the last round.
     typical_work: f64,
     effects: Vec<Effect>,
@@ -118,6 +140,7 @@
             out_of_touch: BTreeMap::new(),
             failure_detector: failure_detection::FailureDetector::default(),
             lessees: BTreeMap::new(),
+            reports_ignored: ReportsIgnored::default(),
             typical_work: 0.0,
             effects: Vec::new(),
         }
@@ -154,9 +177,8 @@
         // A report with news waits for the round, which is never far.
         let held = self.news && self.loaded;
         let replies = if held { Vec::new() } else { std::mem::take(&mut self.held) };
-        for (reply, machine) in replies {
-            let (orders, keep) = self.answer(&machine);
-            self.effects.push(Effect::Answer { reply, orders, keep });
+        for HeldCheckin { reply, machine, renewal } in replies {
+            self.answer(reply, &machine, renewal);
         }
         std::mem::take(&mut self.effects)
     }
@@ -221,21 +243,27 @@
         let name = report.machine.clone();
         let taken = self.report(report, true);
         let now = self.now;
-        if let Some(machine) = self.machines.get_mut(&name).filter(|_| taken != Taken::Late) {
+        if let Some(machine) =
+            self.machines.get_mut(&name).filter(|_| matches!(taken, Taken::News | Taken::Unchanged))
+        {
             machine.comes_by(via, now);
         }
         match taken {
             Taken::News => {
                 self.news = true;
-                self.held.push((reply, name));
+                let renewal = self.note_answer(&name);
+                self.held.push(HeldCheckin { reply, machine: name, renewal });
             }
             Taken::Unchanged => {
-                let (orders, keep) = self.answer(&name);
-                self.effects.push(Effect::Answer { reply, orders, keep });
+                let renewal = self.note_answer(&name);
+                self.answer(reply, &name, renewal);
+            }
+            Taken::Overtaken => {
+                let renewal = self.note_answer(&name);
+                self.effects.push(Effect::Answer { reply, renewal, orders: Vec::new(), keep: false });
             }
-            // A copy, or a machine that is gone: nobody waits for commands, and no lease hangs on it.
-            Taken::Late => {
-                self.effects.push(Effect::Answer { reply, orders: Vec::new(), keep: false });
+            Taken::Stale => {
+                self.effects.push(Effect::Answer { reply, renewal: None, orders: Vec::new(), keep: false });
             }
         }
     }
--- a/src/core/overview.rs
+++ b/src/core/overview.rs
@@ -2,7 +2,7 @@
 //! the use of machines per team and job.
 
 use super::model::*;
-use super::Core;
+use super::{Core, ReportsIgnored};
 use crate::limits;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -44,6 +44,8 @@
     /// Machines that follow the last one shown; ask on with `after_machine`.
     pub more_machines: usize,
     pub decisions: Vec<String>,
+    /// Check-ins of which nothing was taken in.
+    pub reports_ignored: ReportsIgnored,
 }
 
 #[derive(Debug, Serialize)]
@@ -108,6 +110,7 @@
             machines: machines.by_ref().take(limits::OVERVIEW_LINES).map(|m| self.machine_line(m)).collect(),
             more_machines: machines.count(),
             decisions: self.ledger.decisions.iter().cloned().collect(),
+            reports_ignored: self.reports_ignored,
         }
     }
 
--- a/src/core/reconciliation.rs
+++ b/src/core/reconciliation.rs
@@ -65,7 +65,7 @@
             .filter(|m| m.phase != Phase::Lost)
             // A worker first heard of may have begun its lease as late as then: without its report in the
             // sum, every machine younger than this leader was given up the moment it came up.
-            .filter(|m| now.min(covered) >= m.answered.max(m.heard).max(alive) + lease)
+            .filter(|m| now.min(covered) >= m.answered.at().max(m.heard).max(alive) + lease)
             .filter(|m| m.phase == Phase::Up || !m.tasks.is_empty() || (m.inherited && !m.reconciled))
             .map(|m| m.name.clone())
             .collect();
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -2,6 +2,7 @@
 
 use super::model::*;
 use super::{Core, StoredMachine, Taken};
+use crate::lease_renewal::LastAnswer;
 use crate::limits;
 use std::collections::{BTreeMap, BTreeSet};
 use tracing::{debug, info, warn};
@@ -27,7 +28,8 @@
             recorded: false,
             inherited: false,
             heard: 0,
-            answered: 0,
+            answered: LastAnswer::default(),
+            checked_in: 0,
             via: None,
             kept: false,
             left: None,
@@ -65,7 +67,8 @@
             return Taken::Unchanged;
         }
         if self.fleet.gone.contains_key(&report.machine) {
-            return Taken::Late;
+            self.reports_ignored.stale += 1;
+            return Taken::Stale;
         }
         let (now, token) = (self.now, self.config.token);
         if let Some(machine) = self.machines.get_mut(&report.machine) {
@@ -78,6 +81,7 @@
                 && report.tasks == machine.listed;
             if unchanged {
                 machine.sequence = report.sequence;
+                machine.checked_in = report.sequence;
                 machine.heard = now;
                 machine.unheard = 0;
                 return Taken::Unchanged;
@@ -95,8 +99,7 @@
         let machine = self.machine(&stored);
         // Held messages arrive late and out of order: only the newest list counts.
         if (report.session, report.sequence) <= (machine.session, machine.sequence) {
-            debug!(machine = report.machine, "late report ignored");
-            return Taken::Late;
+            return self.take_late(&report, checkin);
         }
         if checkin {
             machine.judge_hearing(&report, token);
@@ -112,7 +115,13 @@
             // Whatever an earlier session held died with its lease.
             self.clear_machine(&report.machine);
         }
-        let Some(machine) = self.machines.get_mut(&report.machine) else { return Taken::Late };
+        let Some(machine) = self.machines.get_mut(&report.machine) else { return Taken::Stale };
+        if report.session != machine.session {
+            machine.checked_in = 0;
+        }
+        if checkin {
+            machine.checked_in = report.sequence;
+        }
         machine.session = report.session;
         machine.sequence = report.sequence;
         machine.address = report.address;
@@ -151,6 +160,32 @@
         Taken::News
     }
 
+    /// A report older than the newest: its list says nothing. The answer to direct commands may have overtaken a
+    /// check-in whose worker waits, and an answer to that renews the worker's lease. While such answers were given
+    /// without being noted, tasks were started elsewhere seconds before the lease that they ran under had ended.
+    fn take_late(&mut self, report: &Report, checkin: bool) -> Taken {
+        let now = self.now;
+        let Some(machine) = self.machines.get_mut(&report.machine) else { return Taken::Stale };
+        let overtaken = checkin
+            && report.session == machine.session
+            && report.sequence > machine.checked_in
+            && machine.phase != Phase::Lost;
+        let (session, sequence, newest) = (report.session, report.sequence, machine.sequence);
+        if overtaken {
+            debug!(
+                machine = report.machine,
+                session, sequence, newest, "check-in overtaken by a direct answer"
+            );
+            machine.checked_in = report.sequence;
+            machine.heard = now;
+            self.reports_ignored.overtaken += 1;
+            return Taken::Overtaken;
+        }
+        debug!(machine = report.machine, session, sequence, newest, checkin, "late report ignored");
+        self.reports_ignored.stale += u64::from(checkin);
+        Taken::Stale
+    }
+
     /// Updates what the report lists and returns its living (task, attempt) pairs.
     pub(super) fn take_listed(&mut self, name: &str, tasks: &[ReportedTask]) -> BTreeSet<(TaskId, u64)> {
         let mut living = BTreeSet::new();
--- a/src/leadership/tests.rs
+++ b/src/leadership/tests.rs
@@ -611,7 +611,7 @@
             self.nodes[node].block.follow(token);
         }
         if let Some(stops) = keeps {
-            if let Some(token) = self.nodes[node].block.answers(now, &report, followed.is_some()) {
+            if let Some(token) = self.nodes[node].block.answers(now, &report, followed.is_some()).token() {
                 self.autonomous_answers += 1;
                 return Some((token, job_ids(stops)));
             }
--- /dev/null
+++ b/src/lease_renewal.rs
@@ -0,0 +1,149 @@
+//! Answers to reports that may renew a worker's lease.
+//!
+//! A worker keeps its tasks for `lease_s` after it sent the last report that was answered, so the leader may start them
+//! elsewhere only after that. Whoever answers must therefore have noted it where the leader counts. An answer is built
+//! from a [`LeaseRenewal`], and a renewal is only handed out by the record in which the answer was noted, or where
+//! another bound holds the leader back.
+
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// On what grounds an answer may renew a lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Grounds {
+    /// The leader noted the answer to the machine.
+    Leader,
+    /// A leader that has not loaded its state: leases count from when it has (`Core::load`).
+    BeforeLoad,
+    /// A lease keeper: the next leader counts leases from when it may last have answered
+    /// (`Leadership::autonomous_until`).
+    LeaseKeeper,
+    /// A lessee noted the machine for its next heartbeat; until then the leader counts none of its leases as over.
+    Lessee,
+    /// The leader noted the answer before it sent it to the lessee that had passed the report on.
+    Relayed,
+}
+
+/// Proof that an answer which may renew a worker's lease is accounted for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[must_use = "an answer that was noted should be given"]
+pub struct LeaseRenewal {
+    grounds: Grounds,
+}
+
+impl LeaseRenewal {
+    fn on(grounds: Grounds) -> Self {
+        LeaseRenewal { grounds }
+    }
+
+    /// Of a leader that has not loaded its state.
+    pub(crate) fn before_load() -> Self {
+        LeaseRenewal::on(Grounds::BeforeLoad)
+    }
+
+    /// Of a lease keeper.
+    pub(crate) fn by_lease_keeper() -> Self {
+        LeaseRenewal::on(Grounds::LeaseKeeper)
+    }
+
+    /// Of a lessee that has the leader's answer.
+    pub(crate) fn relayed() -> Self {
+        LeaseRenewal::on(Grounds::Relayed)
+    }
+
+    /// Why the lease may be renewed.
+    pub fn grounds(&self) -> Grounds {
+        self.grounds
+    }
+}
+
+/// When the leader last noted an answer that may have renewed a machine's lease.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LastAnswer {
+    at: u64,
+}
+
+impl LastAnswer {
+    /// An answer of the leader's own.
+    pub fn note(&mut self, now: u64) -> LeaseRenewal {
+        self.at = self.at.max(now);
+        LeaseRenewal::on(Grounds::Leader)
+    }
+
+    /// A lessee has told of an answer of its own.
+    pub fn note_told(&mut self, now: u64) {
+        self.at = self.at.max(now);
+    }
+
+    /// The last time at which a lease may have begun.
+    pub fn at(&self) -> u64 {
+        self.at
+    }
+}
+
+/// Machines that a lessee answered and the leader has not confirmed, with the last heartbeat that has to name each.
+#[derive(Debug, Default)]
+pub struct UnconfirmedAnswers {
+    machines: BTreeMap<String, u64>,
+}
+
+impl UnconfirmedAnswers {
+    /// An answer to the machine, to be named in this heartbeat.
+    pub fn note(&mut self, machine: &str, heartbeat: u64) -> LeaseRenewal {
+        self.machines.insert(machine.to_string(), heartbeat);
+        LeaseRenewal::on(Grounds::Lessee)
+    }
+
+    /// The leader has confirmed a heartbeat that named the machine.
+    pub fn confirm(&mut self, machine: &str, heartbeat: u64) {
+        if self.machines.get(machine).is_some_and(|first| *first <= heartbeat) {
+            self.machines.remove(machine);
+        }
+    }
+
+    /// The machines' names.
+    pub fn names(&self) -> impl Iterator<Item = &String> {
+        self.machines.keys()
+    }
+
+    /// How many machines.
+    pub fn len(&self) -> usize {
+        self.machines.len()
+    }
+
+    /// Whether every answer was confirmed.
+    pub fn is_empty(&self) -> bool {
+        self.machines.is_empty()
+    }
+}
+
+/// Answers of this node since it started, by their grounds.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct AnswerCounts {
+    leader: u64,
+    before_load: u64,
+    lease_keeper: u64,
+    lessee: u64,
+    relayed: u64,
+    /// Reports that were not answered here.
+    refused: u64,
+}
+
+impl AnswerCounts {
+    /// Counts an answer.
+    pub fn count(&mut self, renewal: &LeaseRenewal) {
+        let count = match renewal.grounds {
+            Grounds::Leader => &mut self.leader,
+            Grounds::BeforeLoad => &mut self.before_load,
+            Grounds::LeaseKeeper => &mut self.lease_keeper,
+            Grounds::Lessee => &mut self.lessee,
+            Grounds::Relayed => &mut self.relayed,
+        };
+        *count += 1;
+    }
+
+    /// Counts a report that was not answered here.
+    pub fn count_refused(&mut self) {
+        self.refused += 1;
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fleet_limits;
 pub mod http;
 pub mod leadership;
+pub mod lease_renewal;
 pub mod limits;
 pub mod live;
 pub mod operator;
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -2,6 +2,7 @@
 
 use crate::core::model::{ExitReason, JobId, Report, ReportedTask, TaskId, TaskStatus};
 use crate::core::Order;
+use crate::lease_renewal::LeaseRenewal;
 use serde::{Deserialize, Serialize};
 
 /// A worker's report.
@@ -183,8 +184,8 @@
 }
 
 impl CheckinAnswer {
-    /// An answer under a leader's token.
-    pub fn new<'a>(token: u64, orders: impl IntoIterator<Item = &'a Order>) -> Self {
+    /// An answer under a leader's token, which renews the worker's lease.
+    pub fn new<'a>(token: u64, _renewal: LeaseRenewal, orders: impl IntoIterator<Item = &'a Order>) -> Self {
         CheckinAnswer { token, commands: orders.into_iter().map(WorkerCommand::from).collect() }
     }
 }
