Requests between controllers are numbered by process; starts are logged with their proof

Cause: heartbeats of lessees and reports passed on were numbered from one in every process, so that a confirmation or a reply meant for the process before was taken by the next: it answered workers by itself, unknown to the leader. Change: RequestIds begin at the incarnation; a confirmation that matches no heartbeat changes nothing; frames that nothing follows from are counted and logged once for each peer. Every start is logged with where the task was and why it is there no more (core::absence), every end of a lease and every renewal with what it rests on.

--- a/src/blocks.rs
+++ b/src/blocks.rs
@@ -10,6 +10,7 @@
 use crate::core::model::{Report, ReportedTask};
 use crate::lease_renewal::{LeaseRenewal, UnconfirmedAnswers};
 use crate::limits;
+use crate::peer::RequestIds;
 use std::collections::{HashMap, VecDeque};
 
 /// The last report of a machine that the leader knows.
@@ -76,20 +77,21 @@
     answered: UnconfirmedAnswers,
     /// Words without confirmation: number, when, which machines.
     told: VecDeque<(u64, u64, Vec<String>)>,
-    next: u64,
+    heartbeats: RequestIds,
     tell_due: u64,
 }
 
 impl Block {
-    pub fn new(most: usize) -> Self {
-        Block { most, ..Block::default() }
+    /// `most`: machines that it keeps at most.
+    pub fn new(most: usize, incarnation: u64) -> Self {
+        Block { most, heartbeats: RequestIds::of(incarnation), ..Block::default() }
     }
 
     /// A leader is about. Until it confirms a heartbeat of ours nobody is answered without it; what an earlier one
     /// leased may still keep workers alive elsewhere.
     pub fn follow(&mut self, token: u64) {
         if token > self.token {
-            *self = Block { token, next: self.next, ..Block::new(self.most) };
+            *self = Block { token, most: self.most, heartbeats: self.heartbeats, ..Block::default() };
         }
     }
 
@@ -118,7 +120,7 @@
         if let Some(kept) = self.kept.get_mut(&report.machine).filter(|_| unchanged) {
             (kept.sequence, kept.at) = (report.sequence, now);
         }
-        BlockAnswer::Renews(self.token, self.answered.note(&report.machine, self.next + 1))
+        BlockAnswer::Renews(self.token, self.answered.note(&report.machine, self.heartbeats.upcoming()))
     }
 
     /// While no leader is heard, a worker of ours with news tries the other nodes first, since it may be only
@@ -170,7 +172,7 @@
         }
         // Machines that are gone or report elsewhere are forgotten here, where it happens once in a while.
         self.kept.retain(|_, kept| now < kept.at + limits::KEPT_IDLE);
-        self.next += 1;
+        let id = self.heartbeats.take();
         let mut room = limits::BLOCK_WORD;
         let fits = |name: &&String| {
             room = room.saturating_sub(name.len() + 1);
@@ -180,24 +182,22 @@
         let whole = machines.len() == self.answered.len();
         // The rest follows at once: what the leader confirms meanwhile need not be named again.
         self.tell_due = now + if whole { limits::BLOCK_TELL } else { limits::BLOCK_TELL_ON };
-        self.told.push_back((self.next, now, machines.clone()));
+        self.told.push_back((id, now, machines.clone()));
         if self.told.len() > limits::BLOCK_UNCONFIRMED {
             self.told.pop_front();
         }
-        Some(BlockHeartbeat { id: self.next, whole, fresh: self.until == 0, machines })
+        Some(BlockHeartbeat { id, whole, fresh: self.until == 0, machines })
     }
 
-    /// The leader has taken note: our lease runs on from when it was told.
-    pub fn confirmed(&mut self, id: u64, lease: u64) {
-        while self.told.front().is_some_and(|(n, _, _)| *n <= id) {
-            let Some((n, sent, machines)) = self.told.pop_front() else { return };
-            if n == id {
-                self.until = self.until.max(sent + limits::shortened(lease));
-                for name in machines {
-                    self.answered.confirm(&name, id);
-                }
-            }
+    /// The leader has taken note: our lease runs on from when it was told. Returns whether the heartbeat is one of ours.
+    pub fn confirmed(&mut self, id: u64, lease: u64) -> bool {
+        let Some(at) = self.told.iter().position(|(told, _, _)| *told == id) else { return false };
+        let Some((_, sent, machines)) = self.told.drain(..=at).next_back() else { return false };
+        self.until = self.until.max(sent + limits::shortened(lease));
+        for name in machines {
+            self.answered.confirm(&name, id);
         }
+        true
     }
 }
 
--- a/src/blocks_tests.rs
+++ b/src/blocks_tests.rs
@@ -28,7 +28,7 @@
 
 /// A lessee whose lease runs from one second on.
 fn block() -> Block {
-    let mut block = Block::new(8);
+    let mut block = Block::new(8, 1);
     block.follow(4);
     let heartbeat = block.tell(SECOND).unwrap();
     assert_eq!(block.answers(SECOND, &report(1, 2), true), BlockAnswer::NotOurs);
@@ -153,7 +153,7 @@
 fn a_large_block_with_long_names_is_told_whole_again_and_again() {
     const MACHINES: usize = 6_000;
     const REPORT: u64 = 2_500_000;
-    let mut block = Block::new(2 * MACHINES);
+    let mut block = Block::new(2 * MACHINES, 1);
     block.follow(4);
     let first = block.tell(SECOND).unwrap();
     block.confirmed(first.id, 60 * SECOND);
@@ -178,3 +178,19 @@
     let apart = whole_at.windows(2).map(|pair| pair[1] - pair[0]).max();
     assert!(apart.is_some_and(|apart| apart <= REPORT), "whole at {whole_at:?}");
 }
+
+/// Heartbeats were numbered from one in every process: the confirmation of a heartbeat of the process before, still on
+/// its way when this one had started, let this one answer by itself, unknown to the leader.
+#[test]
+fn a_confirmation_of_an_earlier_process_confirms_nothing() {
+    let mut earlier = Block::new(8, 1);
+    earlier.follow(4);
+    let confirmed = earlier.tell(SECOND).unwrap().id;
+    let mut block = Block::new(8, 90_000);
+    block.follow(4);
+    let own = block.tell(2 * SECOND).unwrap().id;
+    assert!(!block.confirmed(confirmed, LEASE));
+    assert_eq!(block.answers(3 * SECOND, &report(1, 2), false), BlockAnswer::NotOurs);
+    assert!(block.confirmed(own, LEASE), "its own counts still");
+    assert!(block.answers(3 * SECOND, &report(1, 2), false).token().is_some());
+}
--- a/src/controller/checkins.rs
+++ b/src/controller/checkins.rs
@@ -1,6 +1,7 @@
 //! Workers' check-ins: answered by the leader's core, by this node as the lessee of a block, by a lease keeper, or
 //! sent elsewhere; and the frames about them between leader and lessees.
 
+use super::frames_ignored::IgnoredFrame;
 use super::Controller;
 use crate::blocks::{BlockAnswer, BlockHeartbeat};
 use crate::core::model::Report;
@@ -26,6 +27,12 @@
     Lessee(usize, u64),
 }
 
+/// An answer that this node gives without the leader, as far as it knows.
+fn log_renewal(report: &Report, renewal: &LeaseRenewal, token: u64) {
+    let Report { machine, session, sequence, .. } = report;
+    debug!(machine, session, sequence, token, grounds = ?renewal.grounds(), "lease renewed");
+}
+
 /// A report on its way to the leader.
 pub(super) struct PassedOn {
     pub(super) to: oneshot::Sender<CheckinReply>,
@@ -54,6 +61,7 @@
         match payload {
             Payload::Report { id, stamp, report } => {
                 if !leads || !fresh(stamp) || now >= self.leadership.cancellations.keeps_until() {
+                    self.frames_ignored.note(from, IgnoredFrame::Stale);
                     // A lease keeper keeps workers alive whichever way they come.
                     let care = self.leadership.lease_keeper(now).zip(self.keeps(now, &report));
                     let (token, orders) = care.unzip();
@@ -62,9 +70,9 @@
                     return;
                 }
                 self.checkins.push_back(now);
-                self.next_reply += 1;
-                self.replies.insert(self.next_reply, ReplyTo::Lessee(from, id));
-                commands.push(Command::Checkin { reply: self.next_reply, report, via: Some(from) });
+                let reply = self.requests.take();
+                self.replies.insert(reply, ReplyTo::Lessee(from, id));
+                commands.push(Command::Checkin { reply, report, via: Some(from) });
             }
             Payload::Heard { id, stamp, whole, fresh: anew, machines } if leads && fresh(stamp) => {
                 self.checkins.push_back(now);
@@ -74,7 +82,9 @@
                 self.send(from, Payload::Confirmed { id, lease_ms });
             }
             Payload::Reply { id, token, keep, orders } => {
-                let Some(PassedOn { to, report, .. }) = self.passed_on.remove(&id) else { return };
+                let Some(PassedOn { to, report, .. }) = self.passed_on.remove(&id) else {
+                    return self.frames_ignored.note(from, IgnoredFrame::Unasked);
+                };
                 let reply = match token {
                     Some(token) => {
                         let orders = self.leadership.cancellations.with_stops(orders, &report);
@@ -87,8 +97,12 @@
             }
             Payload::Wake(machines) => self.block.wake(&machines),
             Payload::Confirmed { id, lease_ms } => {
-                self.block.confirmed(id, (u64::from(lease_ms) * 1_000).min(self.config.block_lease));
+                let lease = (u64::from(lease_ms) * 1_000).min(self.config.block_lease);
+                if !self.block.confirmed(id, lease) {
+                    self.frames_ignored.note(from, IgnoredFrame::Unasked);
+                }
             }
+            Payload::Heard { .. } => self.frames_ignored.note(from, IgnoredFrame::Stale),
             _ => {}
         }
     }
@@ -134,7 +148,10 @@
     pub(super) fn holds(&mut self, now: u64, report: &Report, leader_heard: bool) -> Option<CheckinReply> {
         let stops = self.keeps(now, report)?;
         match self.block.answers(now, report, leader_heard) {
-            BlockAnswer::Renews(token, renewal) => Some(self.renewing(token, renewal, &stops)),
+            BlockAnswer::Renews(token, renewal) => {
+                log_renewal(report, &renewal, token);
+                Some(self.renewing(token, renewal, &stops))
+            }
             BlockAnswer::Copy => Some(self.refusing(None)),
             BlockAnswer::NotOurs => None,
         }
@@ -152,8 +169,7 @@
         }
         if let Some((leader, token, stamp)) = followed {
             if report.token <= token && peer::carries(&report) {
-                self.next_reply += 1;
-                let id = self.next_reply;
+                let id = self.requests.take();
                 if self.send(leader, Payload::Report { id, stamp, report: report.clone() }) {
                     self.passed_on.insert(id, PassedOn { to, report, sent: now });
                     return;
@@ -192,7 +208,10 @@
         let keeper = || Some((self.leadership.lease_keeper(now)?, LeaseRenewal::by_lease_keeper()));
         if let Some((token, renewal)) = unloaded.or_else(keeper) {
             let reply = match self.keeps(now, &report) {
-                Some(stops) => self.renewing(token, renewal, &stops),
+                Some(stops) => {
+                    log_renewal(&report, &renewal, token);
+                    self.renewing(token, renewal, &stops)
+                }
                 None => self.refusing(None),
             };
             // The worker may have given up meanwhile.
@@ -202,10 +221,10 @@
         if leads.is_none() {
             return self.hold(now, report, to);
         }
-        self.next_reply += 1;
+        let reply = self.requests.take();
         let stops = self.leadership.cancellations.with_stops(Vec::new(), &report);
-        self.replies.insert(self.next_reply, ReplyTo::Worker(to, stops));
-        commands.push(Command::Checkin { reply: self.next_reply, report, via: None });
+        self.replies.insert(reply, ReplyTo::Worker(to, stops));
+        commands.push(Command::Checkin { reply, report, via: None });
     }
 
     /// Gives the leader's answer to a check-in.
--- /dev/null
+++ b/src/controller/frames_ignored.rs
@@ -0,0 +1,44 @@
+//! Frames of peers that nothing follows from: counted, and logged once for each peer.
+
+use serde::Serialize;
+use std::collections::BTreeSet;
+use tracing::info;
+
+/// Why nothing follows from a frame.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum IgnoredFrame {
+    /// A report or a heartbeat that echoes an old stamp, or for a leader that does not lead any more.
+    Stale,
+    /// An answer to nobody: its request was given up, or is an earlier process's.
+    Unasked,
+}
+
+/// Frames that nothing followed from, since this process started.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct FrameCounts {
+    stale: u64,
+    unasked: u64,
+}
+
+/// Counts frames that nothing follows from.
+#[derive(Debug, Default)]
+pub(super) struct FramesIgnored {
+    counts: FrameCounts,
+    logged: BTreeSet<(usize, IgnoredFrame)>,
+}
+
+impl FramesIgnored {
+    pub(super) fn note(&mut self, from: usize, why: IgnoredFrame) {
+        match why {
+            IgnoredFrame::Stale => self.counts.stale += 1,
+            IgnoredFrame::Unasked => self.counts.unasked += 1,
+        }
+        if self.logged.insert((from, why)) {
+            info!(from, ?why, "frame ignored; further ones of this kind are only counted");
+        }
+    }
+
+    pub(super) fn counts(&self) -> FrameCounts {
+        self.counts
+    }
+}
--- a/src/controller/health.rs
+++ b/src/controller/health.rs
@@ -42,6 +42,13 @@
             false => self.leadership.leader_name(now).map(str::to_string),
         };
         let core = self.core.as_ref().map(|core| core.overview(start));
-        NodeView { node, leader, token: self.config.token, answers: self.answers, core }
+        NodeView {
+            node,
+            leader,
+            token: self.config.token,
+            answers: self.answers,
+            frames_ignored: self.frames_ignored.counts(),
+            core,
+        }
     }
 }
--- a/src/controller/live_jobs.rs
+++ b/src/controller/live_jobs.rs
@@ -16,7 +16,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tracing::{debug, warn};
+use tracing::{debug, info, warn};
 
 pub(super) fn stored_job(record: &Record) -> Option<StoredJob> {
     let live: Result<LiveRecord, _> = serde_json::from_value(record.value.clone());
@@ -147,6 +147,8 @@
             match load(&self.store, versions).await {
                 Ok(Loaded { jobs, records, orphans, revision }) => {
                     self.known.extend(jobs.iter().map(|job| job.spec.job_id));
+                    let (token, jobs_read, machine_records) = (self.token, jobs.len(), records.len());
+                    info!(token, epoch, revision, jobs_read, machine_records, "state read");
                     self.send(Command::Load { jobs, records }).await;
                     tokio::spawn(sweep(self.store.clone(), orphans, epoch));
                     return revision;
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -7,6 +7,7 @@
 mod drain_records;
 mod effects;
 mod finished_tasks;
+mod frames_ignored;
 mod health;
 mod leading;
 mod live_jobs;
@@ -27,13 +28,15 @@
 use crate::lease_renewal::AnswerCounts;
 use crate::limits;
 use crate::live::Reading;
-use crate::peer::{Payload, Received};
+use crate::peer::{Payload, Received, RequestIds};
 use crate::protocol::workers::Checkin;
 use crate::record_versions::RecordVersions;
 use crate::settings::Settings;
 use crate::store::Store;
 use checkins::{PassedOn, ReplyTo};
 use cloud_driver::CloudRequest;
+pub use frames_ignored::FrameCounts;
+use frames_ignored::FramesIgnored;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -50,6 +53,8 @@
     pub token: u64,
     /// Answers to reports that this node gave, by what they rest on.
     pub answers: AnswerCounts,
+    /// Frames of peers that nothing followed from.
+    pub frames_ignored: FrameCounts,
     #[serde(flatten)]
     pub core: Option<Overview>,
 }
@@ -87,7 +92,8 @@
     version: u64,
     versions: RecordVersions,
     replies: BTreeMap<u64, ReplyTo>,
-    next_reply: u64,
+    requests: RequestIds,
+    frames_ignored: FramesIgnored,
     answers: AnswerCounts,
     /// The workers that report here while another node leads.
     block: Block,
--- a/src/controller/start.rs
+++ b/src/controller/start.rs
@@ -1,6 +1,7 @@
 //! Starts a controller: sockets, clients, the tasks around the owner of the state.
 
 use super::cloud_driver::keep_catalog;
+use super::frames_ignored::FramesIgnored;
 use super::{Controller, Event};
 use crate::api::{self, Api, ApiSettings, Health, Summary, Types};
 use crate::blocks::Block;
@@ -11,7 +12,7 @@
 use crate::leadership::Leadership;
 use crate::lease_renewal::AnswerCounts;
 use crate::limits::{self, Capacity};
-use crate::peer::{self, Received, Sender};
+use crate::peer::{self, Received, RequestIds, Sender};
 use crate::record_versions::RecordVersions;
 use crate::settings::{Operator, Settings};
 use crate::store::Store;
@@ -151,9 +152,10 @@
         version: 0,
         versions: RecordVersions::default(),
         replies: BTreeMap::new(),
-        next_reply: 0,
+        requests: RequestIds::of(sender.incarnation),
+        frames_ignored: FramesIgnored::default(),
         answers: AnswerCounts::default(),
-        block: Block::new(room.block),
+        block: Block::new(room.block, sender.incarnation),
         passed_on: BTreeMap::new(),
         leading: Vec::new(),
         cloud_queue: None,
--- /dev/null
+++ b/src/core/absence.rs
@@ -0,0 +1,77 @@
+//! Proofs that a task is on no machine: what a leader must have before it starts the task elsewhere.
+
+use super::model::Machine;
+use crate::limits;
+use std::fmt;
+
+/// Why a task is known to be gone from a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Absence {
+    /// Its start never left the leader.
+    NotSent,
+    /// The worker reported that it exited.
+    Exited,
+    /// A report that is newer than its start does not list it.
+    NotListed {
+        /// Session and sequence of the report.
+        report: (u64, u64),
+    },
+    /// The worker began a session, and tasks of earlier ones died with their leases.
+    NewSession {
+        /// The new session.
+        session: u64,
+    },
+    /// The worker's lease is over.
+    LeaseEnded {
+        /// When the last answer was noted that may have renewed it.
+        answered: u64,
+        /// The lessee that told of it, or passed the report on.
+        via: Option<usize>,
+        /// When it was counted as over.
+        at: u64,
+    },
+    /// The cloud says that the machine is deleted.
+    Deleted,
+}
+
+impl Absence {
+    /// The lease of this machine is counted as over.
+    pub(super) fn lease_ended(machine: &Machine, now: u64) -> Self {
+        let answered = machine.answered.at().max(machine.heard);
+        Absence::LeaseEnded { answered, via: machine.via, at: now }
+    }
+}
+
+impl fmt::Display for Absence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Absence::NotSent => f.write_str("start never left"),
+            Absence::Exited => f.write_str("exit reported"),
+            Absence::NotListed { report: (session, sequence) } => {
+                write!(f, "not listed in report {session}/{sequence}")
+            }
+            Absence::NewSession { session } => write!(f, "session {session} began"),
+            Absence::LeaseEnded { answered, via, at } => {
+                let silent_s = at.saturating_sub(*answered) as f64 / limits::SECOND as f64;
+                write!(f, "lease ended {silent_s:.3} s after the last answer")?;
+                via.map_or(Ok(()), |node| write!(f, " by way of node {node}"))
+            }
+            Absence::Deleted => f.write_str("deleted by the cloud"),
+        }
+    }
+}
+
+/// Where a task was last, and why it is not there any more.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LastPlace {
+    /// The machine's name.
+    pub machine: String,
+    /// The proof.
+    pub absence: Absence,
+}
+
+impl fmt::Display for LastPlace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.machine, self.absence)
+    }
+}
--- a/src/core/answers.rs
+++ b/src/core/answers.rs
@@ -3,6 +3,7 @@
 use super::model::*;
 use super::{Core, Effect, Order};
 use crate::lease_renewal::LeaseRenewal;
+use tracing::debug;
 
 impl Core {
     pub(super) fn stop_orders(machine: &Machine) -> impl Iterator<Item = Order> + '_ {
@@ -20,7 +21,15 @@
     /// Notes that a check-in will be answered, which renews the machine's lease. None: the machine is gone.
     pub(super) fn note_answer(&mut self, name: &str) -> Option<LeaseRenewal> {
         match self.machines.get_mut(name) {
-            Some(machine) => Some(machine.answered.note(self.now)),
+            Some(machine) => {
+                debug!(
+                    machine = name,
+                    session = machine.session,
+                    sequence = machine.checked_in,
+                    "lease renewed"
+                );
+                Some(machine.answered.note(self.now))
+            }
             // A leader that has not loaded knows no machines; one that has knows that it is gone.
             None => (!self.loaded).then(LeaseRenewal::before_load),
         }
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -1,5 +1,6 @@
 //! What to rent, keep, drain and return. Renting follows the queue.
 
+use super::absence::Absence;
 use super::model::*;
 use super::plan::Plan;
 use super::{Core, Effect, ListedMachine, Outcome};
@@ -119,7 +120,7 @@
                 continue;
             }
             // The cloud's 200 is proof: the machine and everything on it are gone.
-            self.clear_machine(&name);
+            self.clear_machine(&name, Absence::Deleted);
             self.fleet.gone.insert(name.clone(), self.now);
             self.fleet.missing.remove(&name);
             self.note_machine_gone(&name);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! The single owner of jobs, tasks, machines and blocks. Commands come in batches, effects go out.
 //! Pure: no I/O, no clock, no globals; the random numbers are seeded.
 
+pub mod absence;
 mod answers;
 pub mod cold_start;
 pub mod consolidate;
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -1,5 +1,6 @@
 //! The domain: jobs, tasks, machines, and what is told about them.
 
+use super::absence::LastPlace;
 use crate::lease_renewal::LastAnswer;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -349,6 +350,8 @@
     pub waiting: BTreeSet<u32>,
     /// Machines that hold, or may hold, each task.
     pub places: BTreeMap<u32, Vec<String>>,
+    /// Where waiting tasks were before.
+    pub last_places: BTreeMap<u32, LastPlace>,
     pub done: BTreeSet<u32>,
     /// Finished tasks not yet in the state service.
     pub uncommitted: BTreeSet<u32>,
@@ -389,6 +392,7 @@
             inherited,
             waiting,
             places: BTreeMap::new(),
+            last_places: BTreeMap::new(),
             done,
             uncommitted: BTreeSet::new(),
             uncommitted_since: None,
--- a/src/core/placing.rs
+++ b/src/core/placing.rs
@@ -1,5 +1,6 @@
 //! Where tasks are: placed, told to stop, and provably gone.
 
+use super::absence::{Absence, LastPlace};
 use super::model::*;
 use super::Core;
 use tracing::debug;
@@ -39,8 +40,10 @@
     pub(super) fn place_on(&mut self, name: &str, id: TaskId, needs: Resources, image: String, attempt: u64) {
         let now = self.now;
         self.note_order(id);
+        let previous = self.jobs.get_mut(&id.job_id).and_then(|job| job.last_places.remove(&id.task));
         if let Some(machine) = self.machines.get_mut(name) {
-            debug!(task = %id, machine = name, attempt, "place");
+            let previous = previous.map(tracing::field::display);
+            debug!(task = %id, machine = name, attempt, previous, "place");
             let placed = Placed {
                 attempt,
                 needs,
@@ -64,7 +67,7 @@
         if placed.sent.is_none() && !placed.seen {
             // Its start has not left: it is provably nowhere.
             machine.tasks.remove(&id);
-            self.unplace(name, id);
+            self.unplace(name, id, Absence::NotSent);
             return;
         }
         // A later stop with less grace ends the saving.
@@ -77,7 +80,7 @@
     }
 
     /// The task is provably not on this machine any more.
-    pub(super) fn unplace(&mut self, name: &str, id: TaskId) {
+    pub(super) fn unplace(&mut self, name: &str, id: TaskId, absence: Absence) {
         let Some(job) = self.jobs.get_mut(&id.job_id) else { return };
         if let Some(names) = job.places.get_mut(&id.task) {
             names.retain(|n| n != name);
@@ -85,6 +88,7 @@
                 job.places.remove(&id.task);
                 if !job.over && !job.done.contains(&id.task) {
                     job.waiting.insert(id.task);
+                    job.last_places.insert(id.task, LastPlace { machine: name.to_string(), absence });
                 }
             }
         }
@@ -92,7 +96,7 @@
     }
 
     /// Everything on the machine is gone.
-    pub(super) fn clear_machine(&mut self, name: &str) {
+    pub(super) fn clear_machine(&mut self, name: &str, absence: Absence) {
         self.note_lost_work(name);
         let Some(machine) = self.machines.get_mut(name) else { return };
         let tasks: Vec<_> = std::mem::take(&mut machine.tasks).into_keys().collect();
@@ -100,7 +104,7 @@
         machine.foreign.clear();
         machine.unknown.clear();
         for id in tasks {
-            self.unplace(name, id);
+            self.unplace(name, id, absence);
         }
     }
 }
--- a/src/core/reconciliation.rs
+++ b/src/core/reconciliation.rs
@@ -1,5 +1,6 @@
 //! What is known of earlier leaders' machines, and when a machine may be counted on or its lease is over.
 
+use super::absence::Absence;
 use super::model::*;
 use super::{fleet, Core};
 use crate::limits;
@@ -70,8 +71,11 @@
             .map(|m| m.name.clone())
             .collect();
         for name in ended {
-            info!(machine = name, "lease ended: everything on it is gone");
-            self.clear_machine(&name);
+            let Some(absence) = self.machines.get(&name).map(|m| Absence::lease_ended(m, now)) else {
+                continue;
+            };
+            info!(machine = name, proof = %absence, "lease ended: everything on it is gone");
+            self.clear_machine(&name, absence);
             if let Some(machine) = self.machines.get_mut(&name) {
                 machine.phase = Phase::Lost;
                 machine.reconciled = true;
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -1,5 +1,6 @@
 //! What workers report, and what they are told.
 
+use super::absence::Absence;
 use super::model::*;
 use super::{Core, StoredMachine, Taken};
 use crate::lease_renewal::LastAnswer;
@@ -113,7 +114,7 @@
                 );
             }
             // Whatever an earlier session held died with its lease.
-            self.clear_machine(&report.machine);
+            self.clear_machine(&report.machine, Absence::NewSession { session: report.session });
         }
         let Some(machine) = self.machines.get_mut(&report.machine) else { return Taken::Stale };
         if report.session != machine.session {
@@ -300,7 +301,7 @@
             if let (ExitReason::Done, Some(ran)) = (reason, ran) {
                 self.judge_speed(name, id.job_id, ran);
             }
-            self.unplace(name, id);
+            self.unplace(name, id, Absence::Exited);
         }
         if !news {
             return;
@@ -390,7 +391,7 @@
             if let Some(machine) = self.machines.get_mut(name) {
                 machine.tasks.remove(&id);
             }
-            self.unplace(name, id);
+            self.unplace(name, id, Absence::NotListed { report: newest });
         }
     }
 
--- a/src/leadership/store_answers.rs
+++ b/src/leadership/store_answers.rs
@@ -24,7 +24,7 @@
                     actions.push(Action::Release { lease });
                     return actions;
                 }
-                info!(token, "leading");
+                info!(token, version, "leading");
                 self.token = self.token.max(token);
                 let epoch = Epoch { token, node: self.names[self.me].clone(), incarnation: self.incarnation };
                 self.epoch = Some((epoch, version));
--- a/src/leadership/tests.rs
+++ b/src/leadership/tests.rs
@@ -194,7 +194,7 @@
         let now = base + (self.now as f64 * rate) as u64;
         let incarnation = self.rng.random();
         let leadership = Leadership::new(names, me, incarnation, now, (AUTONOMY, KEPT), self.rng.random());
-        let (block, ledger) = (Block::new(8), Ledger::default());
+        let (block, ledger) = (Block::new(8, incarnation), Ledger::default());
         let (state_answered, live_due, read) = (0, 0, 0);
         let old = self.nodes.get(me).is_some_and(|node| node.old);
         let down_until = None;
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -2,10 +2,12 @@
 
 mod codec;
 mod layout;
+mod request_ids;
 mod transport;
 
 pub use codec::{carries, decode, encode};
 pub use layout::SUMMARY_MOST;
+pub use request_ids::RequestIds;
 pub use transport::{listen, send_to};
 
 use crate::cancellation_log::Attestation;
--- a/tests/core_rules.rs
+++ b/tests/core_rules.rs
@@ -292,7 +292,7 @@
             core: Core::new(config(1, &deployment), SECOND),
             token: 1,
             workers: BTreeMap::new(),
-            lessees: (0..LESSEES).map(|_| Lessee { block: Block::new(64), cut_until: 0 }).collect(),
+            lessees: (0..LESSEES).map(|i| Lessee { block: Block::new(64, i as u64), cut_until: 0 }).collect(),
             passed_on: BTreeMap::new(),
             answered_by_lessees: 0,
             cloud_down_until: 0,
@@ -976,7 +976,7 @@
             // A lessee that ends has forgotten its block.
             6 => {
                 let node = self.rng.random_range(0..LESSEES);
-                self.lessees[node].block = Block::new(64);
+                self.lessees[node].block = Block::new(64, self.rng.random());
             }
             4 => {
                 let live: Vec<JobId> = self.live.keys().copied().collect();
