--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -253,6 +253,8 @@
     /// The sequence of the last check-in that was taken in this session: answers to direct commands raise `sequence`
     /// too, and overtake check-ins that are under way.
     pub checked_in: u64,
+    /// A late or repeated check-in of it was logged.
+    pub sent_stale: bool,
     /// The node that its last report came through, if that was not this one, and whether that node answers
     /// by itself what says nothing new.
     pub via: Option<usize>,
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -31,6 +31,7 @@
             heard: 0,
             answered: LastAnswer::default(),
             checked_in: 0,
+            sent_stale: false,
             via: None,
             kept: false,
             left: None,
@@ -183,6 +184,12 @@
             return Taken::Overtaken;
         }
         debug!(machine = report.machine, session, sequence, newest, checkin, "late report ignored");
+        if checkin && !std::mem::replace(&mut machine.sent_stale, true) {
+            info!(
+                machine = report.machine,
+                session, sequence, newest, "a late or repeated check-in; further ones are only counted"
+            );
+        }
         self.reports_ignored.stale += u64::from(checkin);
         Taken::Stale
     }
--- a/tests/lease_accounting.rs
+++ b/tests/lease_accounting.rs
@@ -119,6 +119,17 @@
         }
     }
 
+    /// What the workers hold.
+    fn held(&self) -> BTreeSet<(String, TaskId)> {
+        let machines = self.running.iter();
+        machines.flat_map(|(name, tasks)| tasks.keys().map(move |id| (name.clone(), *id))).collect()
+    }
+
+    /// Check-ins of which nothing was taken in.
+    fn ignored(&self) -> u64 {
+        self.core.overview(&Default::default()).reports_ignored.stale
+    }
+
     fn carry_out(&mut self, machine: &str, orders: &[Order]) {
         let running = self.running.entry(machine.into()).or_default();
         for order in orders {
@@ -211,3 +222,55 @@
     );
     assert!(placed < lease_ends + 8 * SECOND, "a lost machine keeps its replica away for long");
 }
+
+/// What the leader does with a check-in of the first machine, besides answering.
+fn refused(cluster: &mut Cluster, report: Report) -> bool {
+    const REPLY: u64 = 999;
+    let (held, ignored) = (cluster.held(), cluster.ignored());
+    cluster.step(vec![Command::Checkin { reply: REPLY, report, via: None }]);
+    assert_eq!(cluster.held(), held, "nothing starts or ends because of it");
+    assert_eq!(cluster.ignored(), ignored + 1, "it is counted");
+    !cluster.answered.contains(&REPLY)
+}
+
+/// Nobody waits for the answer to a copy, and an answer that somebody could take for one would renew a lease.
+#[test]
+fn a_repeated_check_in_is_refused_and_counted() {
+    let mut cluster = Cluster::new();
+    let (reply, report) = cluster.report("m-000001");
+    cluster.step(vec![Command::Checkin { reply, report: report.clone(), via: None }]);
+    assert!(cluster.answered.contains(&reply));
+    assert!(refused(&mut cluster, report));
+}
+
+/// The worker has begun a session since, and drops the answer.
+#[test]
+fn a_check_in_of_an_earlier_session_is_refused_and_counted() {
+    let mut cluster = Cluster::new();
+    let (_, earlier) = cluster.report("m-000001");
+    cluster.running.clear();
+    let (reply, report) = cluster.report("m-000001");
+    let report = Report { session: 2, tasks: vec![], ..report };
+    cluster.step(vec![Command::Checkin { reply, report, via: None }]);
+    assert!(refused(&mut cluster, earlier));
+}
+
+/// The cloud's word is final: a report that a cut held back brings nothing back.
+#[test]
+fn a_check_in_of_a_deleted_machine_is_refused_and_counted() {
+    let mut cluster = Cluster::new();
+    let (_, report) = cluster.report("m-000001");
+    cluster.step(vec![Command::Deleted { machines: vec!["m-000001".into()], outcome: Outcome::Done }]);
+    assert!(refused(&mut cluster, report));
+}
+
+/// Once its lease counts as over, an overtaken check-in is too late to renew it.
+#[test]
+fn an_overtaken_check_in_is_refused_once_its_lease_counts_as_over() {
+    let mut cluster = Cluster::new();
+    let (_, report) = cluster.report("m-000001");
+    let (_, direct) = cluster.report("m-000001");
+    cluster.step(vec![Command::OrdersAnswered(direct)]);
+    cluster.placed_elsewhere();
+    assert!(refused(&mut cluster, report));
+}
--- /dev/null
+++ b/tests/lease_interleavings.rs
@@ -0,0 +1,408 @@
+//! Every order in which the messages around one lease can arrive, up to a depth: a worker that reports to the leader or
+//! through a lessee, stops that go straight to it, their answers, heartbeats of the lessee and confirmations. After
+//! each order the worker is silent, everything under way is lost, and its task must not be started elsewhere before the
+//! lease that it really has has ended.
+
+mod common;
+
+use common::spec;
+use dockpier::blocks::{Block, BlockAnswer, BlockHeartbeat};
+use dockpier::core::model::*;
+use dockpier::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob};
+use dockpier::limits::SECOND;
+use dockpier::settings::{Operator, Workers};
+use std::collections::BTreeMap;
+
+/// Long against the margin of a lease, so that one report that is not noted shows.
+const REPORT: u64 = 6 * SECOND;
+const LEASE: u64 = 20 * SECOND;
+const BLOCK_LEASE: u64 = 8 * SECOND;
+/// How long a worker waits for the answer to a report.
+const ANSWER_PATIENCE: u64 = 4 * SECOND;
+/// Events of an order, each a message delivered or a step of time, and steps of time among them at most.
+const DEPTH: usize = 6;
+const TICKS: usize = 1;
+/// The lessee's number among the nodes.
+const LESSEE: usize = 1;
+
+/// The worker whose lease is looked at, and the empty one beside it.
+const WATCHED: &str = "m-000001";
+const EMPTY: &str = "m-000002";
+/// The replica that must never run twice, and the job beside it that is cancelled.
+const REPLICA: TaskId = TaskId { job_id: JobId(1), task: 0 };
+const CANCELLED: JobId = JobId(2);
+
+/// A message on its way.
+enum Message {
+    /// The worker's report, at its node.
+    Report(Report),
+    /// A report that the lessee passed on, at the leader.
+    PassedOn(Report),
+    /// The leader's answer to it, at the lessee.
+    Reply { report: Report, renews: bool, keep: bool, orders: Vec<Order> },
+    /// The answer to the report of this sequence, at the worker; None: it is sent elsewhere.
+    Answer { sequence: u64, orders: Option<Vec<Order>> },
+    /// Direct commands, at the worker.
+    Direct(Vec<Order>),
+    /// The worker's answer to them, at the leader.
+    DirectAnswer(Report),
+    /// At the leader.
+    Heartbeat { heartbeat: BlockHeartbeat, stamp: u64 },
+    /// At the lessee.
+    Confirmed(u64),
+    /// At the lessee: the leader has something to tell the watched worker.
+    Wake,
+}
+
+/// The watched worker, which knows when its lease really ends.
+#[derive(Default)]
+struct Worker {
+    sequence: u64,
+    token: u64,
+    tasks: BTreeMap<TaskId, (u64, TaskStatus)>,
+    /// Sequence and time of the report that it waits for.
+    waits: Option<(u64, u64)>,
+    report_due: u64,
+    lease_until: u64,
+}
+
+struct World {
+    core: Core,
+    block: Block,
+    now: u64,
+    /// The watched worker reports through the lessee.
+    by_lessee: bool,
+    worker: Worker,
+    empty: Worker,
+    under_way: Vec<Message>,
+    started_elsewhere: Option<u64>,
+}
+
+impl Worker {
+    fn report(&mut self, name: &str) -> Report {
+        self.sequence += 1;
+        let tasks = self.tasks.iter();
+        let tasks =
+            tasks.map(|(id, (attempt, status))| ReportedTask { id: *id, attempt: *attempt, status: *status });
+        Report {
+            machine: name.into(),
+            address: String::new(),
+            machine_type: "m".into(),
+            zone: "a".into(),
+            spot: false,
+            session: 1,
+            sequence: self.sequence,
+            token: self.token,
+            notice_s: None,
+            tasks: tasks.collect(),
+        }
+    }
+
+    /// Carries orders out; whether its tasks changed.
+    fn take(&mut self, orders: &[Order]) -> bool {
+        let before = self.tasks.clone();
+        for order in orders {
+            match order {
+                Order::Start { id, attempt } => {
+                    self.tasks.entry(*id).or_insert((*attempt, TaskStatus::Running));
+                }
+                Order::Stop { id, .. } => {
+                    if let Some((_, status)) = self.tasks.get_mut(id) {
+                        *status = TaskStatus::Exited(ExitReason::Stopped);
+                    }
+                }
+                Order::Forget { id, .. } => {
+                    self.tasks.remove(id);
+                }
+            }
+        }
+        self.tasks != before
+    }
+
+    /// The answer to a report has come.
+    fn answered(&mut self, now: u64, sequence: u64, orders: Option<&[Order]>) {
+        let Some((_, sent)) = self.waits.filter(|(waits_for, _)| *waits_for == sequence) else { return };
+        self.waits = None;
+        let Some(orders) = orders else {
+            self.report_due = now + SECOND;
+            return;
+        };
+        self.token = 1;
+        self.lease_until = self.lease_until.max(sent + LEASE);
+        let changed = self.take(orders);
+        self.report_due = if changed { now + SECOND / 2 } else { sent + REPORT };
+    }
+}
+
+impl World {
+    /// Both replicas run on the watched worker; its next report is under way, and one of them has just been cancelled.
+    fn new(by_lessee: bool) -> Self {
+        let workers = Workers {
+            report_s: REPORT as f64 / SECOND as f64,
+            lease_s: LEASE as f64 / SECOND as f64,
+            ..common::config().workers
+        };
+        let operator = Operator { reserve_services: 0, idle_s: 36_000.0, ..Operator::default() };
+        let config = Config {
+            workers,
+            operator,
+            zones: vec!["a".into()],
+            block_lease: BLOCK_LEASE,
+            ..common::config()
+        };
+        let machine_type = MachineType {
+            name: "m".into(),
+            has: Resources::offered(2.0, 2.0, 2.0),
+            price: 1.0,
+            spot_price: None,
+            boot_s: 60.0,
+            fetch_gb_per_s: 1.0,
+            zones: vec!["a".into()],
+        };
+        let mut world = World {
+            core: Core::new(config, SECOND),
+            block: Block::new(8, 1),
+            now: SECOND,
+            by_lessee,
+            worker: Worker::default(),
+            empty: Worker::default(),
+            under_way: Vec::new(),
+            started_elsewhere: None,
+        };
+        world.block.follow(1);
+        world.leader(vec![
+            Command::Types(vec![machine_type]),
+            Command::Load { jobs: vec![], records: vec![] },
+        ]);
+        (0..3).for_each(|_| world.exchange());
+        for job_id in [REPLICA.job_id, CANCELLED] {
+            let spec = spec(job_id.0, Kind::Service, Priority::Critical, 1);
+            let stored = StoredJob { spec, version: 1, age: 0, done: Default::default() };
+            world.leader(vec![Command::JobAdded(stored)]);
+        }
+        // Until nothing that an earlier leader's lessees may have answered counts any more.
+        (0..2 + BLOCK_LEASE / SECOND).for_each(|_| world.exchange());
+        assert_eq!(world.worker.tasks.len(), 2, "both replicas run on the watched worker");
+        world.report_of_empty();
+        world.tick(REPORT);
+        world.leader(vec![Command::JobRemoved(CANCELLED)]);
+        world
+    }
+
+    /// The worker reports, and everything arrives at once.
+    fn exchange(&mut self) {
+        self.worker.report_due = 0;
+        self.tick(SECOND);
+        while !self.under_way.is_empty() {
+            self.deliver(0);
+        }
+    }
+
+    fn send(&mut self, message: Message) {
+        self.under_way.push(message);
+    }
+
+    /// Time passes, and everybody does what is due.
+    fn tick(&mut self, time: u64) {
+        self.now += time;
+        if self.worker.waits.is_some_and(|(_, sent)| self.now >= sent + ANSWER_PATIENCE) {
+            self.worker.waits = None;
+            self.worker.report_due = self.now + SECOND;
+        }
+        self.report_if_due();
+        if let Some(heartbeat) = self.block.tell(self.now) {
+            let stamp = self.now;
+            self.send(Message::Heartbeat { heartbeat, stamp });
+        }
+        self.leader(vec![]);
+    }
+
+    fn report_if_due(&mut self) {
+        if self.worker.waits.is_none() && self.now >= self.worker.report_due {
+            let report = self.worker.report(WATCHED);
+            self.worker.waits = Some((report.sequence, self.now));
+            self.send(Message::Report(report));
+        }
+    }
+
+    fn report_of_empty(&mut self) {
+        for _ in 0..3 {
+            let report = self.empty.report(EMPTY);
+            self.leader(vec![Command::Checkin { reply: 0, report, via: None }]);
+        }
+    }
+
+    fn deliver(&mut self, at: usize) {
+        match self.under_way.remove(at) {
+            Message::Report(report) if self.by_lessee => self.at_lessee(report),
+            Message::Report(report) => {
+                let reply = report.sequence;
+                self.leader(vec![Command::Checkin { reply, report, via: None }]);
+            }
+            Message::PassedOn(report) => self.pass_on(report),
+            Message::Reply { report, renews, keep, orders } => {
+                let sequence = report.sequence;
+                if renews {
+                    self.block.passed(self.now, report, 1, keep);
+                }
+                self.send(Message::Answer { sequence, orders: renews.then_some(orders) });
+            }
+            Message::Answer { sequence, orders } => {
+                self.worker.answered(self.now, sequence, orders.as_deref());
+                self.report_if_due();
+            }
+            Message::Direct(orders) => {
+                if self.worker.take(&orders) {
+                    self.worker.report_due = self.now;
+                }
+                let answer = self.worker.report(WATCHED);
+                self.send(Message::DirectAnswer(answer));
+                self.report_if_due();
+            }
+            Message::DirectAnswer(report) => self.leader(vec![Command::OrdersAnswered(report)]),
+            Message::Heartbeat { heartbeat, stamp } => {
+                let BlockHeartbeat { id, whole, fresh, machines } = heartbeat;
+                let covers = whole.then_some(stamp);
+                self.leader(vec![Command::Heard { node: LESSEE, machines, covers, fresh }]);
+                self.send(Message::Confirmed(id));
+            }
+            Message::Confirmed(id) => {
+                self.block.confirmed(id, BLOCK_LEASE);
+            }
+            Message::Wake => self.block.wake(&[WATCHED.to_string()]),
+        }
+    }
+
+    fn at_lessee(&mut self, report: Report) {
+        let sequence = report.sequence;
+        match self.block.answers(self.now, &report, true) {
+            BlockAnswer::Renews(..) => self.send(Message::Answer { sequence, orders: Some(vec![]) }),
+            BlockAnswer::Copy => self.send(Message::Answer { sequence, orders: None }),
+            BlockAnswer::NotOurs => self.send(Message::PassedOn(report)),
+        }
+    }
+
+    fn pass_on(&mut self, report: Report) {
+        let reply = report.sequence;
+        let first = self.under_way.len();
+        self.leader(vec![Command::Checkin { reply, report: report.clone(), via: Some(LESSEE) }]);
+        // What the leader answers goes by way of the lessee.
+        let answer =
+            |message: &Message| matches!(message, Message::Answer { sequence, .. } if *sequence == reply);
+        let Some(at) = self.under_way.iter().skip(first).position(answer) else { return };
+        if let Message::Answer { orders, .. } = self.under_way.remove(first + at) {
+            let renews = orders.is_some();
+            let keep = orders.as_ref().is_some_and(Vec::is_empty);
+            self.send(Message::Reply { report, renews, keep, orders: orders.unwrap_or_default() });
+        }
+    }
+
+    fn leader(&mut self, batch: Vec<Command>) {
+        let mut outcomes = Vec::new();
+        for effect in self.core.step(self.now, batch) {
+            match effect {
+                Effect::Record { key, .. } => {
+                    outcomes.push(Command::Recorded { key, outcome: Outcome::Done })
+                }
+                Effect::Rent { request, .. } => {
+                    outcomes.push(Command::Rented { request, machines: None, outcome: Outcome::Refused });
+                }
+                Effect::Delete(machines) => {
+                    outcomes.push(Command::Deleted { machines, outcome: Outcome::Unknown });
+                }
+                Effect::Answer { reply: 0, orders, .. } => self.answer_empty(&orders),
+                Effect::Answer { reply, renewal, orders, .. } => {
+                    self.send(Message::Answer { sequence: reply, orders: renewal.map(|_| orders) });
+                }
+                Effect::Direct { machine, orders, .. } if machine == WATCHED => {
+                    self.send(Message::Direct(orders));
+                }
+                Effect::Wake { .. } => self.send(Message::Wake),
+                _ => {}
+            }
+        }
+        if !outcomes.is_empty() {
+            self.leader(outcomes);
+        }
+    }
+
+    fn answer_empty(&mut self, orders: &[Order]) {
+        self.empty.token = 1;
+        self.empty.take(orders);
+        if self.empty.tasks.contains_key(&REPLICA) {
+            self.started_elsewhere.get_or_insert(self.now);
+        }
+    }
+
+    /// The worker is silent and everything under way lost; the lessee goes on, or is not heard either. Checks the rule.
+    fn end(mut self, order: &[usize], lessee_heard: bool) {
+        self.under_way.clear();
+        let until = self.now + BLOCK_LEASE + 2 * LEASE;
+        while self.now < until && self.started_elsewhere.is_none() {
+            self.now += SECOND;
+            let heartbeat = self.block.tell(self.now).filter(|_| lessee_heard);
+            if let Some(BlockHeartbeat { id, whole, fresh, machines }) = heartbeat {
+                let covers = whole.then_some(self.now);
+                self.leader(vec![Command::Heard { node: LESSEE, machines, covers, fresh }]);
+                self.block.confirmed(id, BLOCK_LEASE);
+            }
+            let report = self.empty.report(EMPTY);
+            self.leader(vec![Command::Checkin { reply: 0, report, via: None }]);
+        }
+        let started = self.started_elsewhere.unwrap_or_else(|| panic!("{order:?}: never started elsewhere"));
+        let early_s = self.worker.lease_until.saturating_sub(started) as f64 / SECOND as f64;
+        let by_lessee = self.by_lessee;
+        assert_eq!(early_s, 0.0, "{by_lessee}, {lessee_heard}, order {order:?}: started elsewhere too early");
+    }
+}
+
+/// The world after an order of events: 0 lets a second pass, any other delivers the message of that number.
+fn play(by_lessee: bool, order: &[usize]) -> World {
+    let mut world = World::new(by_lessee);
+    for event in order {
+        match event {
+            0 => world.tick(SECOND),
+            number => world.deliver(number - 1),
+        }
+    }
+    world
+}
+
+/// Plays every order that begins like this one; returns how many there are.
+fn play_all(by_lessee: bool, lessee_heard: bool, order: &mut Vec<usize>) -> u64 {
+    let world = play(by_lessee, order);
+    let messages = world.under_way.len();
+    world.end(order, lessee_heard);
+    let mut played = 1;
+    if order.len() == DEPTH {
+        return played;
+    }
+    let ticks = order.iter().filter(|event| **event == 0).count();
+    for event in usize::from(ticks == TICKS)..=messages {
+        order.push(event);
+        played += play_all(by_lessee, lessee_heard, order);
+        order.pop();
+    }
+    played
+}
+
+fn no_order_ends_a_lease_early(by_lessee: bool, lessee_heard: bool, at_least: u64) {
+    let played = play_all(by_lessee, lessee_heard, &mut Vec::new());
+    println!("by_lessee {by_lessee}, lessee_heard {lessee_heard}: {played} orders up to {DEPTH} events");
+    assert!(played >= at_least, "{played} orders: too little was tested");
+}
+
+#[test]
+fn no_order_of_messages_ends_a_lease_early_where_workers_report_to_the_leader() {
+    no_order_ends_a_lease_early(false, true, 2_000);
+}
+
+#[test]
+fn no_order_of_messages_ends_a_lease_early_where_workers_report_through_a_lessee() {
+    no_order_ends_a_lease_early(true, true, 15_000);
+}
+
+#[test]
+fn no_order_of_messages_ends_a_lease_early_where_the_lessee_falls_silent_too() {
+    no_order_ends_a_lease_early(true, false, 15_000);
+}
