Exits and stale reports have modules of their own; lease tests share their stand-ins

Change: core/exits.rs, core/stale_reports.rs, tests/leases/; an operators' file for each node of a loopback test, its checks as they were. Behaviour of the service as before.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,7 @@
 pub mod consolidate;
 pub mod drains;
 pub mod elastic;
+mod exits;
 pub mod failure_detection;
 pub mod faults;
 pub mod fleet;
@@ -22,16 +23,17 @@
 pub mod records;
 pub mod reports;
 mod reserve;
+mod stale_reports;
 pub mod teams;
 
 pub use messages::*;
+pub use stale_reports::ReportsIgnored;
 
 use crate::lease_renewal::LeaseRenewal;
 use crate::limits;
 use drains::Drains;
 use fleet::Fleet;
 use model::*;
-use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 use tracing::{debug, info};
 
@@ -53,15 +55,6 @@
     renewal: Option<LeaseRenewal>,
 }
 
-/// Check-ins of which nothing was taken in, since this leader began.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize)]
-pub struct ReportsIgnored {
-    /// Overtaken by the answer to direct commands.
-    pub overtaken: u64,
-    /// Copies, and reports of sessions or machines that are gone.
-    pub stale: u64,
-}
-
 pub struct Core {
     pub config: Config,
     pub now: u64,
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -162,38 +162,6 @@
         Taken::News
     }
 
-    /// A report older than the newest: its list says nothing. The answer to direct commands may have overtaken a
-    /// check-in whose worker waits, and an answer to that renews the worker's lease. While such answers were given
-    /// without being noted, tasks were started elsewhere seconds before the lease that they ran under had ended.
-    fn take_late(&mut self, report: &Report, checkin: bool) -> Taken {
-        let now = self.now;
-        let Some(machine) = self.machines.get_mut(&report.machine) else { return Taken::Stale };
-        let overtaken = checkin
-            && report.session == machine.session
-            && report.sequence > machine.checked_in
-            && machine.phase != Phase::Lost;
-        let (session, sequence, newest) = (report.session, report.sequence, machine.sequence);
-        if overtaken {
-            debug!(
-                machine = report.machine,
-                session, sequence, newest, "check-in overtaken by a direct answer"
-            );
-            machine.checked_in = report.sequence;
-            machine.heard = now;
-            self.reports_ignored.overtaken += 1;
-            return Taken::Overtaken;
-        }
-        debug!(machine = report.machine, session, sequence, newest, checkin, "late report ignored");
-        if checkin && !std::mem::replace(&mut machine.sent_stale, true) {
-            info!(
-                machine = report.machine,
-                session, sequence, newest, "a late or repeated check-in; further ones are only counted"
-            );
-        }
-        self.reports_ignored.stale += u64::from(checkin);
-        Taken::Stale
-    }
-
     /// Updates what the report lists and returns its living (task, attempt) pairs.
     pub(super) fn take_listed(&mut self, name: &str, tasks: &[ReportedTask]) -> BTreeSet<(TaskId, u64)> {
         let mut living = BTreeSet::new();
@@ -297,85 +265,6 @@
         }
     }
 
-    fn take_exit(&mut self, name: &str, id: TaskId, attempt: u64, reason: ExitReason) {
-        let now = self.now;
-        let Some(machine) = self.machines.get_mut(name) else { return };
-        let news = machine.exited.insert((id, attempt), reason).is_none();
-        let held = machine.tasks.get(&id).is_some_and(|t| t.attempt == attempt);
-        let intended = machine.tasks.get(&id).is_some_and(|t| t.stopping.is_some());
-        if held {
-            let ran = machine.tasks.remove(&id).and_then(|t| t.runs_since).map(|since| now - since);
-            if let (ExitReason::Done, Some(ran)) = (reason, ran) {
-                self.judge_speed(name, id.job_id, ran);
-            }
-            self.unplace(name, id, Absence::Exited);
-        }
-        if !news {
-            return;
-        }
-        debug!(task = %id, machine = name, ?reason, "ended");
-        if reason != ExitReason::Done && reason != ExitReason::Stopped {
-            info!(task = %id, machine = name, ?reason, "task did not run to its end");
-        }
-        match reason {
-            ExitReason::Done => {
-                if let Some(job) = self.jobs.get_mut(&id.job_id).filter(|j| !j.over && id.task < j.spec.tasks)
-                {
-                    // The tasks of a gang complete together: its record must not wait for the report of a
-                    // machine that is lost.
-                    let ended = match job.spec.kind {
-                        Kind::Service => 0..0,
-                        Kind::Gang => 0..job.spec.tasks,
-                        Kind::Array => id.task..id.task + 1,
-                    };
-                    let before = job.done.len();
-                    job.done.extend(ended.clone());
-                    if job.done.len() > before {
-                        job.waiting.retain(|task| !ended.contains(task));
-                        job.uncommitted.extend(ended);
-                        job.uncommitted_since.get_or_insert(now);
-                    }
-                }
-                self.note_success(id.job_id);
-            }
-            ExitReason::Error | ExitReason::Unknown if !intended => {
-                self.note_failure(name, id.job_id, reason == ExitReason::Error);
-            }
-            // Stopped, or it found its mates gone or never come: the attempt is over for all of a gang.
-            ExitReason::Stopped => {
-                if let Some(job) = self.jobs.get_mut(&id.job_id).filter(|j| j.spec.kind == Kind::Gang) {
-                    job.ended_attempt = job.ended_attempt.max(attempt);
-                }
-            }
-            ExitReason::NoRoom | ExitReason::Busy => {
-                if let Some(machine) = self.machines.get_mut(name) {
-                    machine.no_room_until = now + limits::NO_ROOM_PAUSE;
-                }
-            }
-            _ => {}
-        }
-    }
-
-    /// Tasks of one job differ by half or so; one that takes far longer than the others did speaks
-    /// against its machine, and a second one in a row keeps arrays off it for a while.
-    fn judge_speed(&mut self, name: &str, job_id: JobId, ran: u64) {
-        let Some(job) = self.jobs.get_mut(&job_id) else { return };
-        let (sum, count) = job.ran;
-        job.ran = (sum + ran, count + 1);
-        if count < limits::SLOW_AGAINST {
-            return;
-        }
-        let slow = ran as f64 > limits::SLOW_FACTOR * sum as f64 / count as f64;
-        let now = self.now;
-        let Some(machine) = self.machines.get_mut(name) else { return };
-        machine.slow_votes = if slow { machine.slow_votes + 1 } else { 0 };
-        if machine.slow_votes >= limits::SLOW_VOTES {
-            warn!(machine = name, "slow: no arrays here for a while");
-            machine.slow_votes = 0;
-            machine.slow_until = now + limits::SLOW_PAUSE;
-        }
-    }
-
     /// Places that the report disproves.
     fn drop_unlisted(
         &mut self,
--- a/tests/lease_accounting.rs
+++ b/tests/leases/accounting.rs
@@ -1,11 +1,10 @@
 //! Every answer that may renew a worker's lease is noted by the leader, whichever way the report came and whatever
 //! overtook it: a task is started elsewhere only once the lease that the last answer gave has surely ended.
 
-mod common;
-
-use common::spec;
+use super::common::{self, spec};
+use super::stand_ins::{machine_types, outcome, report};
 use dockpier::core::model::*;
-use dockpier::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob, StoredMachine};
+use dockpier::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob};
 use dockpier::limits::{self, SECOND};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -27,29 +26,6 @@
     stops_sent: bool,
 }
 
-fn machine_type() -> Command {
-    Command::Types(vec![MachineType {
-        name: "m".into(),
-        has: Resources::offered(2.0, 2.0, 2.0),
-        price: 1.0,
-        spot_price: None,
-        boot_s: 60.0,
-        fetch_gb_per_s: 1.0,
-        zones: vec!["a".into()],
-    }])
-}
-
-fn stored_machine(name: &str) -> StoredMachine {
-    StoredMachine {
-        name: name.into(),
-        machine_type: "m".into(),
-        zone: "a".into(),
-        spot: false,
-        address: String::new(),
-        images: BTreeSet::new(),
-    }
-}
-
 fn service(job_id: JobId) -> Command {
     let spec = spec(job_id.0, Kind::Service, Priority::Critical, 1);
     Command::JobAdded(StoredJob { spec, version: 1, age: 0, done: BTreeSet::new() })
@@ -74,7 +50,7 @@
             answered: BTreeSet::new(),
             stops_sent: false,
         };
-        cluster.step(vec![machine_type(), Command::Load { jobs: vec![], records: vec![] }]);
+        cluster.step(vec![machine_types(), Command::Load { jobs: vec![], records: vec![] }]);
         for _ in 0..3 {
             cluster.check_in("m-000001");
         }
@@ -93,16 +69,8 @@
         self.now += STEP;
         let mut outcomes = Vec::new();
         for effect in self.core.step(self.now, batch) {
+            outcomes.extend(outcome(&effect));
             match effect {
-                Effect::Record { key, .. } => {
-                    outcomes.push(Command::Recorded { key, outcome: Outcome::Done })
-                }
-                Effect::Rent { request, .. } => {
-                    outcomes.push(Command::Rented { request, machines: None, outcome: Outcome::Refused });
-                }
-                Effect::Delete(machines) => {
-                    outcomes.push(Command::Deleted { machines, outcome: Outcome::Unknown });
-                }
                 Effect::Answer { reply, renewal, orders, .. } => {
                     if renewal.is_some() {
                         self.answered.insert(reply);
@@ -149,25 +117,9 @@
         let sequence = self.sequences.entry(machine.into()).or_default();
         *sequence += 1;
         let reply = *sequence + if machine == "m-000001" { 0 } else { 1_000 };
-        let StoredMachine { name, machine_type, zone, spot, address, .. } = stored_machine(machine);
         let tasks = self.running.get(machine).into_iter().flatten();
-        let tasks = tasks.map(|(id, attempt)| ReportedTask {
-            id: *id,
-            attempt: *attempt,
-            status: TaskStatus::Running,
-        });
-        let report = Report {
-            machine: name,
-            address,
-            machine_type,
-            zone,
-            spot,
-            session: 1,
-            sequence: *sequence,
-            token: if *sequence > 1 { 1 } else { 0 },
-            notice_s: None,
-            tasks: tasks.collect(),
-        };
+        let tasks = tasks.map(|(id, attempt)| (*id, *attempt, TaskStatus::Running));
+        let report = report(machine, *sequence, u64::from(*sequence > 1), tasks);
         (reply, report)
     }
 
--- a/tests/lease_interleavings.rs
+++ b/tests/leases/interleavings.rs
@@ -3,12 +3,11 @@
 //! each order the worker is silent, everything under way is lost, and its task must not be started elsewhere before the
 //! lease that it really has has ended.
 
-mod common;
-
-use common::spec;
+use super::common::{self, spec};
+use super::stand_ins::{machine_types, outcome, report};
 use dockpier::blocks::{Block, BlockAnswer, BlockHeartbeat};
 use dockpier::core::model::*;
-use dockpier::core::{Command, Config, Core, Effect, Order, Outcome, StoredJob};
+use dockpier::core::{Command, Config, Core, Effect, Order, StoredJob};
 use dockpier::limits::SECOND;
 use dockpier::settings::{Operator, Workers};
 use std::collections::BTreeMap;
@@ -81,21 +80,8 @@
 impl Worker {
     fn report(&mut self, name: &str) -> Report {
         self.sequence += 1;
-        let tasks = self.tasks.iter();
-        let tasks =
-            tasks.map(|(id, (attempt, status))| ReportedTask { id: *id, attempt: *attempt, status: *status });
-        Report {
-            machine: name.into(),
-            address: String::new(),
-            machine_type: "m".into(),
-            zone: "a".into(),
-            spot: false,
-            session: 1,
-            sequence: self.sequence,
-            token: self.token,
-            notice_s: None,
-            tasks: tasks.collect(),
-        }
+        let tasks = self.tasks.iter().map(|(id, (attempt, status))| (*id, *attempt, *status));
+        report(name, self.sequence, self.token, tasks)
     }
 
     /// Carries orders out; whether its tasks changed.
@@ -150,15 +136,6 @@
             block_lease: BLOCK_LEASE,
             ..common::config()
         };
-        let machine_type = MachineType {
-            name: "m".into(),
-            has: Resources::offered(2.0, 2.0, 2.0),
-            price: 1.0,
-            spot_price: None,
-            boot_s: 60.0,
-            fetch_gb_per_s: 1.0,
-            zones: vec!["a".into()],
-        };
         let mut world = World {
             core: Core::new(config, SECOND),
             block: Block::new(8, 1),
@@ -170,10 +147,7 @@
             started_elsewhere: None,
         };
         world.block.follow(1);
-        world.leader(vec![
-            Command::Types(vec![machine_type]),
-            Command::Load { jobs: vec![], records: vec![] },
-        ]);
+        world.leader(vec![machine_types(), Command::Load { jobs: vec![], records: vec![] }]);
         (0..3).for_each(|_| world.exchange());
         for job_id in [REPLICA.job_id, CANCELLED] {
             let spec = spec(job_id.0, Kind::Service, Priority::Critical, 1);
@@ -300,16 +274,8 @@
     fn leader(&mut self, batch: Vec<Command>) {
         let mut outcomes = Vec::new();
         for effect in self.core.step(self.now, batch) {
+            outcomes.extend(outcome(&effect));
             match effect {
-                Effect::Record { key, .. } => {
-                    outcomes.push(Command::Recorded { key, outcome: Outcome::Done })
-                }
-                Effect::Rent { request, .. } => {
-                    outcomes.push(Command::Rented { request, machines: None, outcome: Outcome::Refused });
-                }
-                Effect::Delete(machines) => {
-                    outcomes.push(Command::Deleted { machines, outcome: Outcome::Unknown });
-                }
                 Effect::Answer { reply: 0, orders, .. } => self.answer_empty(&orders),
                 Effect::Answer { reply, renewal, orders, .. } => {
                     self.send(Message::Answer { sequence: reply, orders: renewal.map(|_| orders) });
--- /dev/null
+++ b/tests/leases/stand_ins.rs
@@ -0,0 +1,52 @@
+//! A state service that takes every record, a cloud that rents and deletes nothing, and reports.
+
+use dockpier::core::model::*;
+use dockpier::core::{Command, Effect, Outcome};
+
+/// Machines of two slots in one zone.
+pub fn machine_types() -> Command {
+    Command::Types(vec![MachineType {
+        name: "m".into(),
+        has: Resources::offered(2.0, 2.0, 2.0),
+        price: 1.0,
+        spot_price: None,
+        boot_s: 60.0,
+        fetch_gb_per_s: 1.0,
+        zones: vec!["a".into()],
+    }])
+}
+
+/// What the state service or the cloud answers to an effect of the leader's, if it is for them.
+pub fn outcome(effect: &Effect) -> Option<Command> {
+    match effect {
+        Effect::Record { key, .. } => Some(Command::Recorded { key: key.clone(), outcome: Outcome::Done }),
+        Effect::Rent { request, .. } => {
+            Some(Command::Rented { request: *request, machines: None, outcome: Outcome::Refused })
+        }
+        Effect::Delete(machines) => {
+            Some(Command::Deleted { machines: machines.clone(), outcome: Outcome::Unknown })
+        }
+        _ => None,
+    }
+}
+
+/// A worker's report in its first session.
+pub fn report(
+    machine: &str,
+    sequence: u64,
+    token: u64,
+    tasks: impl Iterator<Item = (TaskId, u64, TaskStatus)>,
+) -> Report {
+    Report {
+        machine: machine.into(),
+        address: String::new(),
+        machine_type: "m".into(),
+        zone: "a".into(),
+        spot: false,
+        session: 1,
+        sequence,
+        token,
+        notice_s: None,
+        tasks: tasks.map(|(id, attempt, status)| ReportedTask { id, attempt, status }).collect(),
+    }
+}
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -96,7 +96,8 @@
             let config = folder.join(format!("n{i}.json"));
             std::fs::write(&config, settings.to_string()).unwrap();
             let operator_file = operator.map(|text| {
-                let file = folder.join("operator.scm");
+                // One for each node: written anew for the next while a node read it, it was empty, and that node ended.
+                let file = folder.join(format!("n{i}.scm"));
                 std::fs::write(&file, text).unwrap();
                 file
             });
