Stand-in cloud: a deleted machine's tasks end in the records with its deletion

Played again with times: its machine was deleted at 16.5287 s, the replica was started elsewhere at 16.5532, and the stand-in's worker noted its end at 16.5553. By the protocol everything on a machine is gone by the time the deletion is answered. Change: the stand-in cloud records the ends itself, and nothing of a machine that is gone. The test's checks are as they were.

--- a/tests/loopback/standins.rs
+++ b/tests/loopback/standins.rs
@@ -287,6 +287,24 @@
     }
 }
 
+impl CloudState {
+    /// The machine is gone with everything on it, which the records say at once: while its worker noted that in its own
+    /// time, up to 50 ms later, a task that was started elsewhere on the cloud's word seemed to run twice.
+    fn end_all(&mut self, machine: &str) {
+        let mut on: BTreeMap<&str, &Seen> = BTreeMap::new();
+        for seen in self.seen.iter().filter(|seen| seen.machine == machine) {
+            match seen.begins {
+                true => on.insert(&seen.task, seen),
+                false => on.remove(seen.task.as_str()),
+            };
+        }
+        let at = Instant::now();
+        let ends: Vec<Seen> =
+            on.into_values().map(|seen| Seen { at, begins: false, ..seen.clone() }).collect();
+        self.seen.extend(ends);
+    }
+}
+
 type Cloud = Arc<Mutex<CloudState>>;
 
 #[handler]
@@ -328,6 +346,7 @@
     let mut cloud = cloud.lock().unwrap();
     for name in body["vessels"].as_array().unwrap() {
         cloud.machines.remove(name.as_str().unwrap());
+        cloud.end_all(name.as_str().unwrap());
     }
     reply(200, json!({}))
 }
@@ -400,7 +419,11 @@
     let text = |field: &str| machine[field].as_str().unwrap().to_string();
     let seen =
         Seen { at: Instant::now(), machine: text("uid"), zone: text("quay"), task: task.to_string(), begins };
-    cloud.lock().unwrap().seen.push(seen);
+    let mut cloud = cloud.lock().unwrap();
+    // One that is gone does nothing more.
+    if cloud.machines.contains_key(&seen.machine) {
+        cloud.seen.push(seen);
+    }
 }
 
 async fn worker(cloud: Cloud, nodes: Vec<SocketAddr>, name: String, machine: Value) {
@@ -443,9 +466,7 @@
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
     // The machine is gone with everything on it.
-    for (load, _) in tasks.iter().filter(|(_, task)| task.1 == "running") {
-        note(&cloud, &machine, load, false);
-    }
+    cloud.lock().unwrap().end_all(&name);
 }
 
 fn signal(cloud: &Cloud, machine: &Value, tasks: &mut Tasks, signal: &Value) {
