Review case 3: answers and reports of a machine with many small tasks pass 64 KiB

A test that fails: an array of 6,000 tasks of 0.01 cores gets 1,200 tasks on one machine in one answer, whose line has 74,422 bytes; the machine's reports are refused from then on, and the machine is deleted with all that runs on it, again and again. Nothing outside review/ is changed.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
+cd "$(dirname "$0")" && exec python3 -B case.py
