--- a/review/1/case.py
+++ b/review/1/case.py
@@ -35,17 +35,17 @@
                 "pull_gb_per_s": 0.5, "hourly": 4.16, "spot_price": 1.01, "boot_s": 30.0,
                 "quays": ["kajaani-dc", "oulu-halli"]}],
         # Few machines are to be had in the zone that stays connected, until the jobs are placed.
-        capacity={("oulu-halli", True): 4, ("kajaani-dc", True): 14, ("kajaani-dc", False): 0,
+        capacity={("oulu-halli", True): 4, ("kajaani-dc", True): 24, ("kajaani-dc", False): 0,
                   ("oulu-halli", False): 0},
     )
     await d.start()
     try:
         await first_leader(d, "berth-1", "berth-2")
         d.start_node("berth-0")
-        await d.submit("job-000101", loads=36, cores=5.0, gpus=1.0, memory_gb=18.0, passage_s=250.0)
-        await d.wait_for("36 tasks run", lambda: sum(map(len, d.ledger.on.values())) == 36, 30)
+        await d.submit("job-000101", loads=56, cores=5.0, gpus=1.0, memory_gb=18.0, passage_s=250.0)
+        await d.wait_for("56 tasks run", lambda: sum(map(len, d.ledger.on.values())) == 56, 30)
         await asyncio.sleep(4.0)
-        d.capacity.update({("oulu-halli", True): 24, ("oulu-halli", False): 24})
+        d.capacity.update({("oulu-halli", True): 40, ("oulu-halli", False): 40})
         d.record("case", f"leader {await d.leader()}; machines " + str(
             {zone: sum(m["quay"] == zone for m in d.cloud.machines.values()) for zone in d.zones}))
         if TROUBLE:
@@ -69,7 +69,7 @@
 
 
 async def connected(d):
-    """Lets the zone be connected until a machine of it has had an answer of the new leader and not reported since. Each
+    """Lets the zone be connected until a few machines of it have had an answer of the new leader and not reported since. Each
     machine is in that state for half a second, once, within some three seconds; else the time runs out."""
     began_at = now()
     await asyncio.sleep(CONNECTED_S[0])
@@ -77,7 +77,7 @@
         workers = [machine["worker"] for machine in d.cloud.machines.values() if machine["quay"] == CUT_OFF]
         newest = max(worker.helm for worker in workers)
         between = [worker.name for worker in workers if worker.tasks and worker.helm == newest > worker.reported_helm]
-        if len(between) >= (2 if now() < began_at + 2.0 else 1):
+        if len(between) >= (3 if now() < began_at + 2.0 else 2 if now() < began_at + 3.0 else 1):
             d.record("case", f"connected for {now() - began_at:.3f} s; between their first two reports: {between}")
             return
         await asyncio.sleep(0.02)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,9 @@
-"""Case 3: an array of many small tasks; the reports of its machines pass 64 KiB and are refused."""
+"""Case 3: the leader is cut from the state service and the other controllers; it starts tasks of a cancelled job."""
 
 import asyncio
+import math
 import os
+import random
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
@@ -10,26 +12,25 @@
 from standins import Deployment, main, now  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-SERVICE, ARRAY = "job-000301", "job-000302"
-WATCHED_S = 80.0
-MOST = 64 * 1024
+JOB = "job-000201"
 
 
 class Case(Deployment):
-    longest_line = 0
-    refused = 0
+    confirmed_at = None
+    late = ()
 
     def run_s(self, load, job):
-        return None if job["rig"] == "service" else 30.0
+        return min(6.0, random.lognormvariate(math.log(4.0), 0.16))  # median 4 s, 95% within 5.2 s
 
     def on_checkin(self, worker, node, report, sent_at, raw, body):
-        longest = max(len(line) for line in raw.split(b"\n"))
-        if longest > MOST:
-            self.record("RULE", f"the answer of {node} to {worker.name} has a line of {longest} bytes")
-        self.longest_line = max(self.longest_line, longest)
-
-    def on_refusal(self, worker, node, report, answer):
-        self.refused += bool(answer and answer[0] == 400)
+        """Starts that were decided after the confirmation: the report that they answer was sent after it."""
+        if self.confirmed_at is None or sent_at <= self.confirmed_at or body.get("helm", 0) < worker.helm:
+            return
+        for command in body.get("signals", []):
+            if command["signal"] == "run" and command["load"].startswith(JOB + "/"):
+                self.late += ((command["load"], worker.name, node, sent_at - self.confirmed_at),)
+                self.record("RULE", f"{node} starts {command['load']} on {worker.name} in answer to a report that was "
+                                    f"sent {sent_at - self.confirmed_at:.3f} s after the cancellation was confirmed")
 
 
 async def case():
@@ -45,32 +46,37 @@
         hulls=[{"label": "vasara-12", "cores": 12.0, "gpus": 2.0, "memory_gb": 48.0, "cache_gb": 90.0,
                 "pull_gb_per_s": 0.5, "hourly": 4.16, "spot_price": 1.01, "boot_s": 30.0,
                 "quays": ["kajaani-dc", "oulu-halli"]}],
-        capacity={("oulu-halli", False): 4, ("kajaani-dc", False): 4, ("oulu-halli", True): 2,
-                  ("kajaani-dc", True): 2},
+        capacity={("oulu-halli", True): 5, ("kajaani-dc", True): 5, ("kajaani-dc", False): 0,
+                  ("oulu-halli", False): 0},
     )
     await d.start()
     try:
         for node in d.nodes:
             d.start_node(node)
         await d.wait_for("a leader", d.leader, 20)
-        await d.submit(SERVICE, rig="service", loads=2, cores=4.0, gpus=1.0, memory_gb=14.0, driftwood=False,
-                       precedence="critical", passage_s=0.0)
-        await d.wait_for("the replicas run", lambda: len(d.ledger.starts) >= 2, 30)
-        await d.submit(ARRAY, loads=6000 if TROUBLE else 300, cores=0.01, gpus=0.0, memory_gb=0.02, passage_s=30.0)
-        accepted_at, status = now(), None
-        while now() < accepted_at + WATCHED_S:
-            _, answer = await d.ask("berth-0", "GET", f"/submissions/{ARRAY}")
-            d.record("user", f"asks for {ARRAY}: {answer}")
-            status = (answer or {}).get("status")
-            if status == "done":
+        await d.submit(JOB, loads=5000, cores=1.0, gpus=0.0, memory_gb=0.9, passage_s=4.0)
+        await d.wait_for("700 tasks were started", lambda: len(d.ledger.starts) >= 700, 75)
+        leader = await d.leader()
+        other = next(node for node in d.nodes if node != leader)
+        if TROUBLE:
+            d.cut_node(leader, ("state", "peers"), up=False)
+        asked_at = now()
+        while now() < asked_at + 30:
+            status, answer = await d.ask(other, "POST", f"/submissions/{JOB}/withdraw", timeout=5.0)
+            d.record("user", f"withdraw {JOB} at {other}: {status} {answer}")
+            if status == 200:
                 break
-            await asyncio.sleep(2.0)
-        again = sum(task.startswith(SERVICE) for _, task, _ in d.ledger.starts) - 2
-        print(f"longest line of an answer to a worker: {d.longest_line} bytes, {MOST} are allowed")
-        print(f"reports refused with 400: {d.refused}; replicas of {SERVICE} started again: {again}")
-        print(f"{ARRAY}: {status} {now() - accepted_at:.1f} s after it was accepted; {len(d.done)} of its tasks completed")
-        d.record("case", f"ended by themselves: {d.check_processes()}; {ARRAY} is {status}")
-        return d.longest_line > MOST
+            await asyncio.sleep(1.0)
+        d.confirmed_at = now()
+        await asyncio.sleep(8.0)
+        if TROUBLE:
+            d.cut_node(leader, ("state", "peers"), up=True)
+        await asyncio.sleep(5.0)
+        d.record("case", f"ended by themselves: {d.check_processes()}; starts after the confirmation: {len(d.late)}")
+        for load, machine, node, after in d.late[-3:]:
+            print(f"{node} started {load} on {machine}, answering a report sent {after:.3f} s after the confirmation")
+        print(f"starts decided after the confirmed cancellation: {len(d.late)}")
+        return bool(d.late)
     finally:
         d.stop()
 
