--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -803,7 +803,8 @@
                                "objectives": [], "workers": self.workers, "state": self.state_limits,
                                "cloud": self.cloud_limits, "resources": self.resources, "skew_ms": 1000.0}}
 
-    def start_node(self, node):
+    def start_node(self, node, program=None):
+        """Starts a controller with the run command of the deploy file; `program`: another version of it."""
         path = os.path.join(self.tmp.name, f"{node}.json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(self.settings(node), file)
@@ -811,6 +812,7 @@
             command = shlex.split(tomllib.load(file)["run"])
         if not os.path.exists(os.path.join(REPO, command[0])):
             raise CannotRun("the program is not built")
+        command[0] = program or command[0]
         keep = os.environ.get("KEEP_LOGS")  # a folder for the controllers' logs, with times
         environment = dict(os.environ, LOG_LEVEL=self.log_level)
         output = subprocess.PIPE if keep else subprocess.DEVNULL
