A zone cut off twice: no machine counts as accounted for by time alone

Cause: a new leader took all machines of earlier leaders as accounted for a shard lease and a worker lease after its takeover. That covers leases that earlier leaders granted. A leaseholder of the present leader renews leases under the present token, and a machine that has had one response of the new leader, but has not listed its tasks to it yet, is among them.

Change: the shortcut by time is gone; each machine is judged alone, by the shard heartbeats of all leaseholders, as every other lease is. The same conclusion decided whether such a machine counts in full against the limits of teams; that now asks the machine too. A log line says which zones are waited for and for how long at most; the cold start's estimate counts a silent leaseholder's shard lease.

Tests: tests/leases/second_cut.rs.

--- a/src/limits/shard.rs
+++ b/src/limits/shard.rs
@@ -5,6 +5,9 @@
 
 /// Interval of a leaseholder's shard heartbeats, which name the machines that it responded to.
 pub const SHARD_HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// A leaseholder is silent if its last shard heartbeat arrived this long ago. Operators' estimates use it; no
+/// lease counts as expired because of it.
+pub const SILENT_LEASEHOLDER_TIMEOUT: Duration = Duration::from_secs(3);
 /// While a node is not in contact with a leader, it redirects a worker whose heartbeat does not allow a
 /// local response to the other nodes. Once the worker has come back from them, it is redirected again only
 /// after this time: there it may wait four seconds for each of two nodes, with a pause of one second, and its
--- a/src/scheduler/autoscaler/machine_list.rs
+++ b/src/scheduler/autoscaler/machine_list.rs
@@ -56,8 +56,7 @@
     /// the confirmation of their deletion lets the work that they may have held start at once.
     fn delete_vanished(&mut self, shown: &BTreeSet<String>) {
         let is_awaited = |machine: &&Machine| {
-            machine.inherited
-                && !machine.accounted_for
+            machine.may_hold_unknown_tasks()
                 && machine.state == MachineState::Pending
                 && !machine.lifecycle.deleting
         };
--- a/src/scheduler/cold_start/report.rs
+++ b/src/scheduler/cold_start/report.rs
@@ -120,8 +120,7 @@
         let phase = Phase::of(cold_start);
         let unreported = self.unreported_machines();
         let gone = self.lost_inherited_machines();
-        let lease = limits::worker_lease(self.config.workers.lease_s);
-        let leases_until = self.unrecorded_renewals_until() + lease;
+        let leases_until = self.inherited_leases_end();
         let unverified = self.machines.values().flat_map(|machine| machine.unplaced_tasks.unverified.keys());
         ColdStartReport {
             phase,
--- a/src/scheduler/failure_detection.rs
+++ b/src/scheduler/failure_detection.rs
@@ -320,9 +320,8 @@
 
     /// All machines from which heartbeats should arrive.
     fn observed_machines(&self) -> Vec<ObservedMachine<'_>> {
-        let awaits_first_heartbeat = |machine: &Machine| {
-            machine.inherited && !machine.accounted_for && machine.state == MachineState::Pending
-        };
+        let awaits_first_heartbeat =
+            |machine: &Machine| machine.may_hold_unknown_tasks() && machine.state == MachineState::Pending;
         self.machines
             .values()
             .filter(|machine| machine.state != MachineState::Pending || awaits_first_heartbeat(machine))
--- a/src/scheduler/lease_expiry.rs
+++ b/src/scheduler/lease_expiry.rs
@@ -29,7 +29,7 @@
     }
 
     /// Whether an earlier leader may have started tasks on it that this leader does not know.
-    fn may_hold_unknown_tasks(&self) -> bool {
+    pub(super) fn may_hold_unknown_tasks(&self) -> bool {
         self.inherited && !self.accounted_for
     }
 }
@@ -92,10 +92,24 @@
     }
 
     /// Until when leases may have been renewed without a record here.
-    pub(super) fn unrecorded_renewals_until(&self) -> Timestamp {
+    fn unrecorded_renewals_until(&self) -> Timestamp {
         self.loaded_at.max(self.peers.others_may_have_renewed_until())
     }
 
+    /// When the last lease has ended that was renewed without a record here. Leaseholders of this leader may
+    /// still renew leases after that, and name the machines in later shard heartbeats.
+    fn unrecorded_leases_end(&self) -> Timestamp {
+        self.unrecorded_renewals_until() + limits::worker_lease(self.config.workers.lease_s)
+    }
+
+    /// When the last lease of a machine that is not accounted for has ended, if no leaseholder that is silent
+    /// now is heard again.
+    pub(super) fn inherited_leases_end(&self) -> Timestamp {
+        let worker_lease = limits::worker_lease(self.config.workers.lease_s);
+        let renewals_end = self.peers.silent_leaseholders_may_renew_until(self.now, self.config.shard_lease);
+        self.unrecorded_leases_end().max(renewals_end + worker_lease)
+    }
+
     /// Names of the machines that may have held tasks and whose leases have expired.
     fn expired_machines(&self) -> Vec<String> {
         let worker_lease = limits::worker_lease(self.config.workers.lease_s);
@@ -137,22 +151,40 @@
         self.rounds.request();
     }
 
-    /// Updates whether all machines of earlier leaders are accounted for: each has stated this leader's token
-    /// or its lease has expired, or the time has passed by which every lease granted by an earlier leader has
-    /// expired.
+    /// Updates whether all machines of earlier leaders are accounted for: each has stated this leader's token,
+    /// its lease has expired, or it is deleted. Time alone is no proof: a leaseholder may renew, under this
+    /// leader's token, the lease of a machine whose tasks this leader does not know.
     fn update_accounted_for(&mut self) {
-        let worker_lease = limits::worker_lease(self.config.workers.lease_s);
-        let all_expired = self.now >= self.unrecorded_renewals_until() + worker_lease;
-        self.all_accounted_for = all_expired || !self.machines.values().any(Machine::may_hold_unknown_tasks);
-        if self.all_accounted_for {
-            let after_ms = to_millis(self.now.since(self.loaded_at));
-            info!(
-                after_ms,
-                "all machines of earlier leaders accounted for, by a heartbeat or by an expired lease"
-            );
-            self.rounds.request();
-            // Counts the cold start's verdicts on tasks (such as missing) as of now.
-            self.record_cold_start_verdicts();
+        self.all_accounted_for = !self.machines.values().any(Machine::may_hold_unknown_tasks);
+        if !self.all_accounted_for {
+            return self.log_prolonged_wait();
+        }
+        let after_ms = to_millis(self.now.since(self.loaded_at));
+        info!(
+            after_ms,
+            "all machines of earlier leaders accounted for, by a heartbeat or by an expired lease"
+        );
+        self.rounds.request();
+        // Counts the cold start's verdicts on tasks (such as missing) as of now.
+        self.record_cold_start_verdicts();
+    }
+
+    /// Logs once that machines are not accounted for although every lease that an earlier leader
+    /// may have granted has ended: a leaseholder of this leader may have renewed theirs.
+    fn log_prolonged_wait(&mut self) {
+        if self.prolonged_wait_logged || self.now < self.unrecorded_leases_end() {
+            return;
         }
+        self.prolonged_wait_logged = true;
+        let awaited = self.machines.values().filter(|machine| machine.may_hold_unknown_tasks());
+        let machines = awaited.clone().count();
+        let zones: BTreeSet<&str> = awaited.map(|machine| machine.zone.as_str()).collect();
+        let at_most_ms = to_millis(self.inherited_leases_end().since(self.now));
+        info!(
+            machines,
+            ?zones,
+            at_most_ms,
+            "machines of earlier leaders not accounted for: a leaseholder may have renewed their leases"
+        );
     }
 }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -111,9 +111,10 @@
     next_expiry_check_at: Timestamp,
 
     // Machines and tasks of earlier leaders.
-    /// Whether each machine of earlier leaders is accounted for (see [`Machine::accounted_for`]), or every
-    /// lease that they granted has expired.
+    /// Whether each machine of earlier leaders is accounted for (see [`Machine::accounted_for`]) or deleted.
     all_accounted_for: bool,
+    /// Whether the log says that some of them wait for longer than earlier leaders' leases (see `lease_expiry`).
+    prolonged_wait_logged: bool,
     /// Kinds of machine (type, zone, spot) of which at least one machine of an earlier leader is not
     /// accounted for, as of the last round.
     unaccounted_kinds: BTreeSet<MachineKind>,
@@ -159,6 +160,7 @@
             failure_detector: failure_detection::FailureDetector::default(),
             next_expiry_check_at: Timestamp::ZERO,
             all_accounted_for: false,
+            prolonged_wait_logged: false,
             unaccounted_kinds: BTreeSet::new(),
             cold_start: cold_start::ColdStart::default(),
             machine_records: records::Records::default(),
--- a/src/scheduler/peer_nodes.rs
+++ b/src/scheduler/peer_nodes.rs
@@ -79,6 +79,17 @@
         may_respond.map(|leaseholder| leaseholder.covered_until).min().unwrap_or(Timestamp::MAX)
     }
 
+    /// Until when a leaseholder from which no shard heartbeat arrives may renew leases;
+    /// [`Timestamp::ZERO`]: none is silent.
+    pub fn silent_leaseholders_may_renew_until(&self, now: Timestamp, shard_lease: Duration) -> Timestamp {
+        let shard_lease = limits::plus_clock_drift(shard_lease);
+        let silent = self
+            .leaseholders
+            .values()
+            .filter(|leaseholder| now >= leaseholder.last_heartbeat_at + limits::SILENT_LEASEHOLDER_TIMEOUT);
+        silent.map(|leaseholder| leaseholder.last_heartbeat_at + shard_lease).max().unwrap_or_default()
+    }
+
     /// Records that this leader cannot reach these nodes at `now`.
     pub fn record_unreachable(&mut self, now: Timestamp, nodes: impl Iterator<Item = usize>) {
         self.last_unreachable_at.extend(nodes.map(|node| (node, now)));
--- a/src/scheduler/peer_nodes_tests.rs
+++ b/src/scheduler/peer_nodes_tests.rs
@@ -41,6 +41,18 @@
     assert_eq!(known_until(&peers, ended), Timestamp::MAX);
 }
 
+#[test]
+fn silent_leaseholder_may_renew_leases_until_its_shard_lease_has_ended() {
+    let mut peers = PeerNodes::new(Timestamp::ZERO);
+    peers.record_shard_heartbeat(1, Some(Timestamp::from_secs(90)), Timestamp::from_secs(100));
+    peers.record_shard_heartbeat(2, Some(Timestamp::from_secs(120)), Timestamp::from_secs(120));
+    let may_renew_until =
+        |at_s| peers.silent_leaseholders_may_renew_until(Timestamp::from_secs(at_s), SHARD_LEASE);
+    assert_eq!(may_renew_until(102), Timestamp::ZERO, "both were heard within three seconds");
+    let end = Timestamp::from_secs(100) + limits::plus_clock_drift(SHARD_LEASE);
+    assert_eq!(may_renew_until(121), end, "only the first one is silent");
+}
+
 #[test]
 fn others_may_have_renewed_until_never_moves_back() {
     let mut peers = PeerNodes::new(Timestamp::from_secs(5));
--- a/src/scheduler/quota.rs
+++ b/src/scheduler/quota.rs
@@ -86,7 +86,7 @@
         // lookups.
         let mut last_team: Option<(JobId, &str)> = None;
         for machine in self.machines.values() {
-            if self.may_hold_unknown_tasks(machine) {
+            if Self::counts_in_full(machine) {
                 usage.add_machine_with_unknown_tasks(machine);
             }
             for (id, task) in &machine.tasks {
@@ -110,9 +110,8 @@
     /// reports tasks of unknown jobs. Such a machine counts in full against the limit of every team. Refusing
     /// all starts until every machine has reported instead would let a single dead machine stop every team
     /// that has a limit.
-    fn may_hold_unknown_tasks(&self, machine: &Machine) -> bool {
-        let is_unaccounted_for = !self.all_accounted_for && machine.inherited && !machine.accounted_for;
-        is_unaccounted_for || machine.unplaced_tasks.has_tasks_of_unknown_jobs()
+    fn counts_in_full(machine: &Machine) -> bool {
+        machine.may_hold_unknown_tasks() || machine.unplaced_tasks.has_tasks_of_unknown_jobs()
     }
 
     /// How many more tasks of the job its team's limit allows. 0 if the team is unknown, or if it has a limit
--- a/tests/leases/main.rs
+++ b/tests/leases/main.rs
@@ -5,4 +5,5 @@
 
 mod accounting;
 mod interleavings;
+mod second_cut;
 mod stand_ins;
