--- a/tests/scheduler_rules/effects.rs
+++ b/tests/scheduler_rules/effects.rs
@@ -66,7 +66,8 @@
                 let held = self.rng.random_bool(0.3);
                 let delay =
                     if held { self.rng.random_range(2..16u64) as u32 * SECOND } else { Duration::ZERO };
-                let at = (self.now + delay).max(worker.cut_until).max(worker.up_at);
+                let reached_at = worker.cut_until.max(worker.up_at).max(self.out_of_reach_until(worker));
+                let at = reached_at.max(self.now + delay);
                 self.held_orders.push((at, machine, self.token, agent_epoch, task_commands));
                 self.deliver_held_orders();
             }
--- a/tests/scheduler_rules/main.rs
+++ b/tests/scheduler_rules/main.rs
@@ -10,6 +10,7 @@
 mod invariants;
 mod leaseholders;
 mod messages;
+mod partitions;
 mod settings;
 mod store;
 mod troubles;
@@ -95,6 +96,29 @@
     play_all(700..760, Deployment::with_slow_reports());
 }
 
+/// Guards against `ran_twice`: a leaseholder in a zone that is cut off twice renews leases under the token that the zone
+/// learnt in between.
+#[test]
+fn the_rules_hold_when_a_zone_is_cut_off_twice() {
+    play_all(800..860, Deployment::with_partitions());
+}
+
+/// The long run, started by hand: `cargo test --release --locked --test scheduler_rules -- --ignored`.
+#[test]
+#[ignore = "takes minutes"]
+fn the_rules_hold_when_a_zone_is_cut_off_twice_in_many_days() {
+    play_all(10_000..13_000, Deployment::with_partitions());
+}
+
+/// Guards against a broken team limit in the same partitions.
+#[test]
+fn a_team_limit_holds_when_a_zone_is_cut_off_twice() {
+    play_all(
+        900..930,
+        Deployment { teams: Deployment::of_one_team(6.0).teams, ..Deployment::with_partitions() },
+    );
+}
+
 #[test]
 fn a_team_limit_holds_across_changes_of_leader() {
     play_all(100..130, Deployment::of_one_team(6.0));
--- a/tests/scheduler_rules/messages.rs
+++ b/tests/scheduler_rules/messages.rs
@@ -134,6 +134,10 @@
             if relayed_by.is_none() && now < worker.leader_cut_until {
                 continue;
             }
+            if self.redirect_across_partition(&name, &heartbeat) {
+                continue;
+            }
+            let Some(worker) = self.workers.get_mut(&name) else { continue };
             if now < worker.cut_until {
                 // Held by the cut: it arrives late, and nobody waits for its answer.
                 self.held.push((worker.cut_until, None, heartbeat));
--- a/tests/scheduler_rules/settings.rs
+++ b/tests/scheduler_rules/settings.rs
@@ -33,6 +33,8 @@
     pub(super) cold_start: bool,
     /// Some heartbeats take long to arrive while their worker waits, and direct commands are answered meanwhile.
     pub(super) slow_reports: bool,
+    /// Zone `b` is cut off twice within seconds while the leader changes, again and again.
+    pub(super) partitions: bool,
     /// Interval between heartbeats, in seconds.
     pub(super) report_s: f64,
 }
@@ -51,6 +53,7 @@
             drains: false,
             cold_start: false,
             slow_reports: false,
+            partitions: false,
             report_s: 1.0,
         }
     }
@@ -93,6 +96,11 @@
         Deployment { slow_reports: true, report_s: 3.0, ..Deployment::of_one_team(0.0) }
     }
 
+    /// Zone `b` with its leaseholder is cut off twice.
+    pub(super) fn with_partitions() -> Self {
+        Deployment { partitions: true, ..Deployment::of_one_team(0.0) }
+    }
+
     /// Machines are up within two seconds, and writes lag for up to four.
     pub(super) fn of_quick_machines() -> Self {
         Deployment { boot_s: 0..2, write_steps: 1..40, ..Deployment::of_one_team(0.0) }
--- a/tests/scheduler_rules/troubles.rs
+++ b/tests/scheduler_rules/troubles.rs
@@ -22,6 +22,12 @@
         if self.deployment.slow_reports && self.rng.random_bool(0.5) {
             return self.mute_at_cancellation();
         }
+        if self.deployment.partitions && self.rng.random_bool(0.6) {
+            if self.is_whole() {
+                self.cut_zone_off_twice();
+            }
+            return;
+        }
         let cut = self.now + self.rng.random_range(1..25u64) as u32 * SECOND;
         // A zone is cut off, or a third of all machines hang, perhaps past their leases, or the leader changes in it.
         if (9..12).contains(&kind) {
--- a/tests/scheduler_rules/world.rs
+++ b/tests/scheduler_rules/world.rs
@@ -3,6 +3,7 @@
 use super::gangs::GangRun;
 use super::leaseholders::{Leaseholder, LEASEHOLDERS};
 use super::messages::Awaited;
+use super::partitions::Partitions;
 use super::settings::{config, job, types, Deployment, STEP};
 use super::worker::Worker;
 use dockpier::fencing_token::FencingToken;
@@ -29,6 +30,7 @@
     /// Heartbeats that leaseholders passed on, by number.
     pub(super) passed_on: BTreeMap<u64, (usize, Heartbeat)>,
     pub(super) answered_by_leaseholders: u64,
+    pub(super) partitions: Partitions,
     pub(super) cloud_down_until: Timestamp,
     pub(super) specs: BTreeMap<JobId, JobSpec>,
     pub(super) live: BTreeMap<JobId, (u64, BTreeSet<u32>)>,
@@ -75,6 +77,7 @@
                 .collect(),
             passed_on: BTreeMap::new(),
             answered_by_leaseholders: 0,
+            partitions: Partitions::default(),
             cloud_down_until: Timestamp::ZERO,
             specs: BTreeMap::new(),
             live: BTreeMap::new(),
@@ -177,6 +180,7 @@
     pub(super) fn step(&mut self) {
         self.now += STEP;
         let mut batch = Vec::new();
+        self.begin_due_partition();
         self.carry_out_writes();
         self.deliver_held_orders();
         let (due, later) = std::mem::take(&mut self.later).into_iter().partition(|(at, _)| *at <= self.now);
