Leases: a controller's first shard heartbeat to a new leader renews no lease

What callers saw: after a zone was cut off for longer than a shard lease and connected again, tasks of machines that had died waited up to a worker lease longer than needed.

Cause: a shard heartbeat without a shard lease may be the first after a restart, so the leader counts every lease as renewed until then. Each controller's first shard heartbeat to a new leader is without one too.

Change: it counts only of a node from which this leader has had a shard heartbeat before. Any other has had no shard lease of this leader, in no incarnation, so it has answered nobody under the present token; what it answered under earlier tokens is counted from the takeover. The model of it in the leadership tests follows.

--- a/src/leadership/tests/lease_ledger.rs
+++ b/src/leadership/tests/lease_ledger.rs
@@ -85,7 +85,7 @@
         stamp: Timestamp,
         received: TimeOnBothClocks,
     ) {
-        if heartbeat.without_lease {
+        if heartbeat.without_lease && self.leaseholders.contains_key(&node) {
             self.raise_assumed_lease_start(received.at_leader);
         }
         let record = self.leaseholders.entry(node).or_default();
--- a/src/scheduler/peer_nodes.rs
+++ b/src/scheduler/peer_nodes.rs
@@ -62,6 +62,12 @@
         leaseholder.last_heartbeat_at = now;
     }
 
+    /// Whether a shard heartbeat of the node has arrived before, so that it, or an earlier incarnation of it,
+    /// may have had a shard lease of this leader.
+    pub fn may_have_had_shard_lease(&self, node: usize) -> bool {
+        self.leaseholders.contains_key(&node)
+    }
+
     /// Until when every response of every leaseholder is known; `Timestamp::MAX` without leaseholders. A
     /// leaseholder is included until its last shard lease and every worker lease that it may have renewed in
     /// that time have ended.
--- a/tests/leases/second_cut.rs
+++ b/tests/leases/second_cut.rs
@@ -321,6 +321,20 @@
     assert!(started_at <= latest, "started {started_at}, at the latest {latest}");
 }
 
+/// Guards against a wait for longer than the proof takes: the first shard heartbeat of a controller that had no shard lease of this
+/// leader counted as a renewal of every lease.
+#[test]
+fn a_task_of_a_machine_that_died_in_the_first_cut_waits_no_longer_because_its_zone_is_connected_again() {
+    let mut cluster = Cluster::new();
+    let last_renewal = cluster.now + limits::plus_clock_drift(shard_lease());
+    cluster.cut_off.report_due = Timestamp::MAX;
+    cluster.step_until(60 * SECOND, |cluster| cluster.now >= last_renewal + 9 * SECOND);
+    cluster.connected = true;
+    let started_at = cluster.started_on_spare_at();
+    let latest = lease_end(last_renewal) + START_DELAY;
+    assert!(started_at <= latest, "started {started_at}, at the latest {latest}");
+}
+
 /// Guards against a task that waits for good: its machine died in the second cut, and the zone stays cut off.
 #[test]
 fn a_task_of_a_machine_that_died_in_the_second_cut_starts_once_the_shard_lease_of_its_zone_has_ended() {
