Log a prolonged wait for machines only while a leaseholder is silent

The line came in every long cut, for the second that the last shard heartbeat needs to cover the end of earlier leaders' leases. It is now left out unless a silent leaseholder is what is waited for.

--- a/src/scheduler/lease_expiry.rs
+++ b/src/scheduler/lease_expiry.rs
@@ -169,17 +169,18 @@
         self.record_cold_start_verdicts();
     }
 
-    /// Logs once that machines are not accounted for although every lease that an earlier leader
-    /// may have granted has ended: a leaseholder of this leader may have renewed theirs.
+    /// Logs once that machines are not accounted for although every lease that an earlier leader may have
+    /// granted has ended: a leaseholder that is silent now may have renewed theirs.
     fn log_prolonged_wait(&mut self) {
-        if self.prolonged_wait_logged || self.now < self.unrecorded_leases_end() {
+        let ends_at = self.inherited_leases_end();
+        if self.prolonged_wait_logged || self.now < self.unrecorded_leases_end() || self.now >= ends_at {
             return;
         }
         self.prolonged_wait_logged = true;
         let awaited = self.machines.values().filter(|machine| machine.may_hold_unknown_tasks());
         let machines = awaited.clone().count();
         let zones: BTreeSet<&str> = awaited.map(|machine| machine.zone.as_str()).collect();
-        let at_most_ms = to_millis(self.inherited_leases_end().since(self.now));
+        let at_most_ms = to_millis(ends_at.since(self.now));
         info!(
             machines,
             ?zones,
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -263,8 +263,8 @@
         if without_lease && self.peers.may_have_had_shard_lease(node) {
             // A leaseholder that crashed has lost the names of the machines to which it responded. If its
             // first shard heartbeat were taken to cover the time before the crash, leases that still run
-            // would be treated as expired (`leadership::tests`). A node that had no shard lease of this
-            // leader has responded to no machine under its token.
+            // would be treated as expired (`tests/leases/second_cut.rs`). A node that had no shard lease of
+            // this leader has responded to no machine under its token.
             self.record_others_may_have_renewed_until(self.now);
         }
         self.apply_shard_heartbeat(node, machines, covers_until);
--- a/tests/scheduler_rules/machine_list.rs
+++ b/tests/scheduler_rules/machine_list.rs
@@ -17,7 +17,7 @@
 impl World {
     /// The list, if the leader reads it now and the cloud answers.
     pub(super) fn machine_list_if_due(&self) -> Option<Command> {
-        let is_due = self.now.as_millis().is_multiple_of(LIST_INTERVAL_MS);
+        let is_due = self.now.as_millis() % LIST_INTERVAL_MS == 0;
         if !is_due || self.now < self.cloud_down_until {
             return None;
         }
