Name machines that failures close to a job in waits_for and in the log

Neither the log nor /overview told the hypotheses apart (no room, limit of the team, headroom, image fetch, machine closed to the job): waits_for was "no free slot, and lower jobs cannot yield its minimum". waits_for now says when machines with room are closed to the job because its tasks failed there, and a log line names the job and the machine when that begins. No decision changes.

--- a/src/scheduler/elastic/preemption.rs
+++ b/src/scheduler/elastic/preemption.rs
@@ -44,12 +44,14 @@
             return Preemption::UnderWay;
         }
         if !self.may_preempt_any(job, &round.capacity) {
-            self.set_pending_reason(job_id, PendingReason::NothingToPreempt);
+            let reason = self.reason_without_room(job, &after_stops, PendingReason::NothingToPreempt);
+            self.set_pending_reason(job_id, reason);
             return Preemption::Impossible;
         }
         let order = round.capacity.preemption_order.get_or_insert_with(|| self.preemption_order()).clone();
         let Some(plan) = self.plan_preemption(newcomer, &order, &after_stops, &mut round.steps) else {
-            self.set_pending_reason(job_id, PendingReason::PreemptionInsufficient);
+            let reason = self.reason_without_room(job, &after_stops, PendingReason::PreemptionInsufficient);
+            self.set_pending_reason(job_id, reason);
             return Preemption::Impossible;
         };
         round.capacity.take_on_each(&plan.targets, &self.machines, &request);
@@ -58,6 +60,25 @@
         Preemption::UnderWay
     }
 
+    /// Why there is no room for the job: `otherwise`, unless machines that its failures have closed to it have
+    /// room.
+    fn reason_without_room(
+        &self,
+        job: &Job,
+        capacity: &FreeCapacity,
+        otherwise: PendingReason,
+    ) -> PendingReason {
+        let has_room = |name: &String| {
+            let available = capacity.available.get(name);
+            available.is_some_and(|available| job.spec.resource_request.fits_into(available))
+        };
+        if !job.is_suspected() && job.failure_history.machines.iter().any(has_room) {
+            PendingReason::ClosedAfterFailure
+        } else {
+            otherwise
+        }
+    }
+
     /// Whether any task may be preempted for the job; checked before the search for victims.
     fn may_preempt_any(&self, job: &Job, capacity: &FreeCapacity) -> bool {
         capacity.lowest_preemptible.is_some_and(|lowest| lowest < job.spec.priority)
--- a/src/scheduler/fault_attribution.rs
+++ b/src/scheduler/fault_attribution.rs
@@ -9,7 +9,7 @@
 use super::Scheduler;
 use crate::limits;
 use crate::time::Timestamp;
-use tracing::warn;
+use tracing::{info, warn};
 
 /// How a task failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,6 +38,9 @@
         job.failure_history.machines.insert(name.to_string());
         let machine_proven_faulty = !job.progress.succeeded.is_empty();
         let suspected = job.is_suspected();
+        if !suspected {
+            info!(job = %job_id, machine = name, "task failed; machine closed to the job until a task of it succeeds");
+        }
         if suspected || failure == TaskFailure::NotKnownToWorker {
             // A job that fails everywhere must not be restarted in a tight loop.
             let backoff = limits::JOB_BACKOFF * (1 << job.failure_history.consecutive_backoffs.min(10));
--- a/src/scheduler/model/pending_reason.rs
+++ b/src/scheduler/model/pending_reason.rs
@@ -28,6 +28,9 @@
     /// There is not enough room, and preemption of lower-priority jobs would not free enough for the tasks
     /// missing from its minimum width (for a service: not even for one replica).
     PreemptionInsufficient,
+    /// As [`PendingReason::NothingToPreempt`] or [`PendingReason::PreemptionInsufficient`], but there is room
+    /// on machines that are closed to it because its tasks failed there.
+    ClosedAfterFailure,
     /// Tasks of lower-priority jobs are being preempted for it.
     PreemptionUnderWay,
     /// A part of its gang is placed; there is no room for the other tasks.
@@ -51,6 +54,7 @@
             PendingReason::RoomNotFreeYet => "stops or a fetch under way",
             PendingReason::NothingToPreempt => "no free slot, and nobody below it runs",
             PendingReason::PreemptionInsufficient => "no free slot, and lower jobs cannot yield its minimum",
+            PendingReason::ClosedAfterFailure => "no free slot but on machines where its tasks failed",
             PendingReason::PreemptionUnderWay => "stops under way",
             PendingReason::NoSlotForRestOfGang => "no free slot for the rest of its gang",
             PendingReason::GangIncomplete => "its gang was not complete in time",
--- a/src/scheduler/overview_tests.rs
+++ b/src/scheduler/overview_tests.rs
@@ -22,6 +22,7 @@
         (PendingReason::RoomNotFreeYet, "stops or a fetch under way"),
         (PendingReason::NothingToPreempt, "no free slot, and nobody below it runs"),
         (PendingReason::PreemptionInsufficient, "no free slot, and lower jobs cannot yield its minimum"),
+        (PendingReason::ClosedAfterFailure, "no free slot but on machines where its tasks failed"),
         (PendingReason::PreemptionUnderWay, "stops under way"),
         (PendingReason::NoSlotForRestOfGang, "no free slot for the rest of its gang"),
         (PendingReason::GangIncomplete, "its gang was not complete in time"),
