Close a machine to a job for a limited time after one of its tasks failed there

Cause: `passes_filter` left out every machine on which a task of the job had failed until some task of the job succeeded. A job with fewer than three machines in reach is never suspected, so nothing ended this.

So that the retries harm nobody: only the first failure keeps the machine from other jobs for 3 s, a suspected job's failures never do, and a machine on which a later attempt of the job succeeds is not taken as faulty. Moves of drained replicas and of consolidation follow the same rule.

--- a/src/limits/scheduling.rs
+++ b/src/limits/scheduling.rs
@@ -56,7 +56,11 @@
 /// First backoff of a job that is suspected, or one of whose tasks a worker reported as unknown. Doubles with
 /// each failure up to `MAX_JOB_BACKOFF`.
 pub const JOB_BACKOFF: Duration = Duration::from_secs(2);
-/// The longest backoff of a job whose tasks fail.
+/// A machine on which a task of a job failed gets no task of that job for this long. Doubles with each failure
+/// of the job there up to `MAX_JOB_BACKOFF`.
+pub const FAILED_MACHINE_BACKOFF: Duration = Duration::from_secs(10);
+/// The longest backoff of a job whose tasks fail, as a whole or on one machine. A job that only one machine can
+/// run must start there within 90 s of the end of a fault (a requirement of the users).
 pub const MAX_JOB_BACKOFF: Duration = Duration::from_secs(60);
 /// A machine that refused a start for lack of room, or on which a task failed, gets no new tasks for this
 /// long.
--- a/src/scheduler/consolidation.rs
+++ b/src/scheduler/consolidation.rs
@@ -200,6 +200,7 @@
         zones.remove(&from.zone);
         let may_take = |machine: &Machine| {
             scoring::is_eligible(job, machine)
+                && !job.avoids(&machine.name, self.now)
                 && zones.allows(job, &machine.zone)
                 && machine.image_cache.images.contains(&job.spec.image)
         };
--- a/src/scheduler/drains/destination.rs
+++ b/src/scheduler/drains/destination.rs
@@ -26,6 +26,7 @@
 /// How good a destination is. Smaller is better; the fields count in their order.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 struct DestinationScore<'a> {
+    job_has_failed_there: bool,
     is_drain_target: bool,
     is_other_replacement: bool,
     lacks_image: bool,
@@ -70,7 +71,7 @@
                 && scoring::is_eligible(job, machine)
                 && zones.allows(job, &machine.zone)
                 && job.spec.resource_request.fits_into(&available)
-                && !job.failure_history.machines.contains(&machine.name)
+                && !job.avoids(&machine.name, self.now)
                 && self.leaves_headroom(job, machine, &available, critical_place, &capacity.spare_places)
         };
         let candidates = self.machines.values().filter(passes_filter);
@@ -107,6 +108,7 @@
         let replaced = self.drains.replacements.get(&machine.name);
         let is_own_replacement = replaced.is_some_and(|replaced| *replaced == from.name);
         DestinationScore {
+            job_has_failed_there: job.failure_history.has_failed_on(&machine.name),
             is_drain_target: self.drains.is_targeted(&machine.name),
             is_other_replacement: replaced.is_some() && !is_own_replacement,
             lacks_image: !machine.image_cache.images.contains(&job.spec.image),
--- a/src/scheduler/drains/reservations.rs
+++ b/src/scheduler/drains/reservations.rs
@@ -133,6 +133,7 @@
             && TasksByZone::of(job, &self.machines).allows(job, &machine.zone)
             && job.spec.resource_request.fits_into(&reserved.available_on(machine))
             && job.failure_history.backoff_until <= self.now
+            && !job.avoids(name, self.now)
             && (!job.inherited || self.job_machines_accounted_for(job))
     }
 }
--- a/src/scheduler/elastic/candidates.rs
+++ b/src/scheduler/elastic/candidates.rs
@@ -108,10 +108,8 @@
     /// `docs/design.md`). A machine that replaces one under drain is reserved for critical jobs and the
     /// tasks that move off the drained machine. A quarantined machine takes services only.
     fn passes_filter(&self, job: &Job, machine: &Machine) -> bool {
-        // A suspected job has failed on several machines; excluding them might leave it none.
-        let failed_here = !job.is_suspected() && job.failure_history.machines.contains(&machine.name);
         scoring::is_eligible(job, machine)
-            && !failed_here
+            && !job.avoids(&machine.name, self.now)
             && !(machine.lifecycle.to_be_emptied && job.spec.allows_spot)
             && (job.spec.priority == Priority::Critical || !self.drains.is_replacement(&machine.name))
             && (job.spec.kind == Kind::Service || machine.health.quarantined_until <= self.now)
--- a/src/scheduler/elastic/preemption.rs
+++ b/src/scheduler/elastic/preemption.rs
@@ -68,11 +68,12 @@
         capacity: &FreeCapacity,
         otherwise: PendingReason,
     ) -> PendingReason {
-        let has_room = |name: &String| {
+        let is_closed_with_room = |name: &String| {
             let available = capacity.available.get(name);
             available.is_some_and(|available| job.spec.resource_request.fits_into(available))
+                && job.avoids(name, self.now)
         };
-        if !job.is_suspected() && job.failure_history.machines.iter().any(has_room) {
+        if job.failure_history.machines.keys().any(is_closed_with_room) {
             PendingReason::ClosedAfterFailure
         } else {
             otherwise
--- a/src/scheduler/fault_attribution.rs
+++ b/src/scheduler/fault_attribution.rs
@@ -28,18 +28,31 @@
         self.progress.succeeded.is_empty()
             && self.failure_history.machines.len() >= limits::SUSPECT_JOB_MACHINES
     }
+
+    /// Whether the job gets no machine with this name now because its tasks failed there lately. Never for a
+    /// suspected job, which backs off as a whole: its failures say nothing about machines.
+    pub(super) fn avoids(&self, machine: &str, now: Timestamp) -> bool {
+        !self.is_suspected() && self.failure_history.is_closed(machine, now)
+    }
 }
 
 impl Scheduler {
-    /// Records that a task of the job failed on the machine with this name.
-    pub(super) fn attribute_task_failure(&mut self, name: &str, job_id: JobId, failure: TaskFailure) {
+    /// Records that this attempt of a task of the job failed on the machine with this name.
+    pub(super) fn attribute_task_failure(
+        &mut self,
+        name: &str,
+        job_id: JobId,
+        attempt: u64,
+        failure: TaskFailure,
+    ) {
         let now = self.now;
         let Some(job) = self.jobs.get_mut(&job_id) else { return };
-        job.failure_history.machines.insert(name.to_string());
+        let failures = job.failure_history.record(name, attempt, now);
         let machine_proven_faulty = !job.progress.succeeded.is_empty();
         let suspected = job.is_suspected();
         if !suspected {
-            info!(job = %job_id, machine = name, "task failed; machine closed to the job until a task of it succeeds");
+            let closed_for_s = failures.closed_until.since(now).as_secs();
+            info!(job = %job_id, machine = name, failures = failures.count, closed_for_s, "task failed; machine closed to the job");
         }
         if suspected || failure == TaskFailure::NotKnownToWorker {
             // A job that fails everywhere must not be restarted in a tight loop.
@@ -50,27 +63,33 @@
         if failure == TaskFailure::NotKnownToWorker {
             return;
         }
-        if let Some(machine) = self.machines.get_mut(name) {
-            // For a while nothing is placed here, so that other machines are tried first.
-            machine.health.placement_backoff_until = now + limits::PLACEMENT_BACKOFF;
-            if !suspected {
-                machine.health.failed_jobs.insert(job_id);
+        if let Some(machine) = self.machines.get_mut(name).filter(|_| !suspected) {
+            machine.health.failed_jobs.insert(job_id);
+            // For a while nothing is placed here, so that other machines are tried first. A further failure of
+            // the same job says nothing new about the machine and must not delay other jobs.
+            if failures.count == 1 {
+                machine.health.placement_backoff_until = now + limits::PLACEMENT_BACKOFF;
             }
         }
         self.replace_if_faulty(name, machine_proven_faulty);
     }
 
-    /// Applies the success of a task of the job: machines on which other tasks of the job failed are at
-    /// fault.
-    pub(super) fn attribute_failures_to_machines(&mut self, job_id: JobId) {
+    /// Applies the success of this attempt of a task of the job on the machine with this name: machines on
+    /// which other tasks of the job failed are at fault. This machine is not if the task was started after
+    /// the failures here.
+    pub(super) fn attribute_failures_to_machines(&mut self, name: &str, job_id: JobId, attempt: u64) {
         let Some(job) = self.jobs.get_mut(&job_id) else { return };
         if job.failure_history.machines.is_empty() {
             return;
         }
         job.failure_history.backoff_until = Timestamp::ZERO;
         job.failure_history.consecutive_backoffs = 0;
-        for name in std::mem::take(&mut job.failure_history.machines) {
-            self.replace_if_faulty(&name, true);
+        for (failed_on, failures) in std::mem::take(&mut job.failure_history.machines) {
+            if failed_on != name || attempt <= failures.last_attempt {
+                self.replace_if_faulty(&failed_on, true);
+            } else if let Some(machine) = self.machines.get_mut(name) {
+                machine.health.failed_jobs.remove(&job_id);
+            }
         }
     }
 
--- a/src/scheduler/model/job.rs
+++ b/src/scheduler/model/job.rs
@@ -1,6 +1,6 @@
 //! Jobs: their submitted specification, and the leader's record of their progress.
 
-use super::{JobId, PendingReason, PreviousPlacement, Resources};
+use super::{JobFailures, JobId, PendingReason, PreviousPlacement, Resources};
 use crate::limits;
 use crate::time::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
@@ -145,19 +145,6 @@
     }
 }
 
-/// Failures of the tasks of a job, and the backoff that follows from them.
-#[derive(Debug, Clone, Default)]
-pub struct JobFailures {
-    /// Backoffs of the job since one of its tasks last succeeded. The job backs off if a task fails while the
-    /// job is suspected to be faulty (`is_suspected`), or if a task that was not asked to stop exits with
-    /// `ExitReason::Unknown`. Each backoff doubles the next one, up to `MAX_JOB_BACKOFF`.
-    pub consecutive_backoffs: u32,
-    /// Names of the machines on which its tasks have failed since a task of the job last succeeded.
-    pub machines: BTreeSet<String>,
-    /// None of its tasks starts before this time.
-    pub backoff_until: Timestamp,
-}
-
 /// The width of a job and when it last changed.
 ///
 /// Growth, preemption or the move of a replica begins the job's rescale gap of `rescale_gap_s` seconds.
--- a/src/scheduler/scoring.rs
+++ b/src/scheduler/scoring.rs
@@ -71,6 +71,9 @@
 /// changes with each task placed on the machine. Smaller is better; the fields are compared in order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Score {
+    /// Whether tasks of the job have failed on the machine since one last succeeded: the machine may be
+    /// faulty, so any other one is tried first.
+    pub job_has_failed_here: bool,
     /// True if the job may use spot machines, the machine is ordinary, and some other job may use only
     /// ordinary machines.
     pub takes_from_non_spot_work: bool,
@@ -87,6 +90,7 @@
     pub fn of(job: &Job, machine: &Machine, has_non_spot_work: bool) -> Self {
         let is_ordinary_for_spot_job = job.spec.allows_spot && !machine.spot;
         Score {
+            job_has_failed_here: job.failure_history.has_failed_on(&machine.name),
             takes_from_non_spot_work: is_ordinary_for_spot_job && has_non_spot_work,
             image_fetches: machine.image_fetches(&job.spec.image),
             penalty: i64::from(machine.lifecycle.to_be_emptied) + i64::from(is_ordinary_for_spot_job),
--- a/src/scheduler/task_exit.rs
+++ b/src/scheduler/task_exit.rs
@@ -47,12 +47,16 @@
         match reason {
             ExitReason::Done => {
                 self.record_succeeded(exited.task);
-                self.attribute_failures_to_machines(job_id);
+                self.attribute_failures_to_machines(name, job_id, exited.attempt);
             }
             // A task that was asked to stop may exit with these reasons without a fault of its job or machine.
             ExitReason::Error | ExitReason::Unknown if stop_requested => {}
-            ExitReason::Error => self.attribute_task_failure(name, job_id, TaskFailure::WhileRunning),
-            ExitReason::Unknown => self.attribute_task_failure(name, job_id, TaskFailure::NotKnownToWorker),
+            ExitReason::Error => {
+                self.attribute_task_failure(name, job_id, exited.attempt, TaskFailure::WhileRunning);
+            }
+            ExitReason::Unknown => {
+                self.attribute_task_failure(name, job_id, exited.attempt, TaskFailure::NotKnownToWorker);
+            }
             // The task was asked to stop, or other members of its gang were gone or did not start: the
             // attempt has ended for the whole gang.
             ExitReason::Stopped => {
--- a/tests/clusters/faults.rs
+++ b/tests/clusters/faults.rs
@@ -68,3 +68,82 @@
     cluster.heartbeats(2);
     assert!(!cluster.is_known(1));
 }
+
+/// Heartbeats, one a second, in which a job must be placed on a machine that has room once troubles are over.
+const MAX_WAIT_BESIDE_ROOM: usize = 90;
+
+/// One failed start closed its machine to the job for good, also where the job had no other machine in reach.
+#[test]
+fn a_job_whose_task_failed_once_starts_again_on_the_only_machine() {
+    for tasks in [1, 4] {
+        let mut cluster = Cluster::new(1, config().teams);
+        cluster.runs = Some(5);
+        cluster.faulty_machines = BTreeSet::from([0]);
+        cluster.submit(array(1, tasks));
+        cluster.heartbeats(4);
+        cluster.faulty_machines.clear();
+        cluster.heartbeats(MAX_WAIT_BESIDE_ROOM);
+        assert!(cluster.starts[&1] > tasks as usize, "{tasks} tasks, {} starts", cluster.starts[&1]);
+        assert!(!cluster.is_known(1), "{tasks} tasks: not done");
+        assert!(cluster.deleted.is_empty(), "{tasks} tasks: the sound machine was replaced");
+    }
+}
+
+/// A job whose gang bound it to as many machines as it has tasks waited for ever after one failed start.
+#[test]
+fn a_gang_whose_task_failed_once_starts_again_on_the_same_machines() {
+    let mut cluster = Cluster::new(2, config().teams);
+    cluster.runs = Some(5);
+    cluster.faulty_machines = BTreeSet::from([0]);
+    cluster.submit(spec(1, Kind::Gang, Priority::Normal, 8));
+    cluster.heartbeats(4);
+    cluster.faulty_machines.clear();
+    cluster.heartbeats(MAX_WAIT_BESIDE_ROOM);
+    assert!(cluster.starts[&1] > 8, "{} starts", cluster.starts[&1]);
+    assert!(!cluster.is_known(1), "not done");
+    assert!(cluster.deleted.is_empty(), "a sound machine was replaced");
+}
+
+/// Each retry of a job that always fails kept its machine from other jobs for a few seconds.
+#[test]
+fn a_job_that_fails_everywhere_delays_no_other_job_and_condemns_no_machine() {
+    // Heartbeats until each of the jobs that come later is done.
+    let later_jobs = |faulty_jobs: &[u64]| {
+        let mut cluster = Cluster::new(2, config().teams);
+        cluster.runs = Some(5);
+        cluster.faulty_jobs = faulty_jobs.iter().copied().collect();
+        cluster.submit(array(1, 1));
+        cluster.heartbeats(10);
+        let mut durations = Vec::new();
+        for id in 2..32 {
+            cluster.submit(array(id, 4));
+            let mut heartbeats = 0;
+            while cluster.is_known(id) && heartbeats < MAX_WAIT_BESIDE_ROOM {
+                cluster.heartbeats(1);
+                heartbeats += 1;
+            }
+            durations.push(heartbeats);
+        }
+        assert!(cluster.deleted.is_empty(), "faulty jobs {faulty_jobs:?}: {:?}", cluster.deleted);
+        (durations, cluster.starts[&1], cluster.is_known(1))
+    };
+    let (undisturbed, _, _) = later_jobs(&[]);
+    let (durations, starts, is_known) = later_jobs(&[1]);
+    let is_delayed = durations.iter().zip(&undisturbed).any(|(duration, undisturbed)| duration > undisturbed);
+    assert!(!is_delayed, "{durations:?}, without the faulty job {undisturbed:?}");
+    // In 210 s on each of the two machines: one a minute at the least, and a few more at first.
+    assert!((6..=14).contains(&starts) && is_known, "{starts} starts in {durations:?}");
+}
+
+/// A machine that may be faulty must come last also once it is open to the job again.
+#[test]
+fn a_job_prefers_machines_where_it_has_not_failed() {
+    let mut cluster = Cluster::new(3, config().teams);
+    cluster.faulty_machines = BTreeSet::from([0]);
+    cluster.submit(spec(1, Kind::Service, Priority::Normal, 1));
+    cluster.heartbeats(30);
+    assert_eq!(cluster.starts[&1], 2, "it runs on the second machine");
+    cluster.machines.remove(&1);
+    cluster.heartbeats(60);
+    assert_eq!((cluster.running(1), cluster.starts[&1]), (2, 3), "the silent machine, and the third one");
+}
