Open a faulty machine that cannot be replaced as the last choice after a minute

What callers would see: where the cloud has no other machine, jobs wait for ever beside a machine with room that was marked for replacement, for as long as one long task keeps it from being idle. One failure is enough for the mark if the job has succeeded elsewhere, two failures of different jobs otherwise; the machine may be sound again after seconds.

Now such a machine is closed for 60 s after the last failure that counts against it, and then takes tasks for which no other machine has room. It is still deleted as soon as it is idle, gives no headroom, takes no moved replica, and comes last in the score. Failures of suspected jobs do not close it, and a shorter backoff no longer replaces a longer one.

Tests (tests/clusters/faults.rs): two fail before the fix (jobs 2, 3 and 4 not done 90 s after the machine is sound; a job of 12 tasks that lost its other machine); one keeps that the machine comes last.

--- a/src/limits/scheduling.rs
+++ b/src/limits/scheduling.rs
@@ -48,6 +48,9 @@
 /// A stop that is not confirmed this long after its grace period is overdue: the task's resources are no
 /// longer expected to become free soon.
 pub const STOP_TIMEOUT: Duration = Duration::from_secs(4);
+/// A faulty machine that cannot be replaced yet, since it still holds tasks, gets no new ones for this long after
+/// a failure. Bounded for the same reason as `MAX_JOB_BACKOFF`.
+pub const FAULTY_MACHINE_BACKOFF: Duration = Duration::from_secs(60);
 /// A machine is replaced once tasks of this many jobs have failed on it, not counting suspected jobs.
 pub const MAX_MACHINE_FAILURES: usize = 2;
 /// A job of which no task has succeeded is suspected of being faulty once it has failed on this many
--- a/src/scheduler/elastic/capacity.rs
+++ b/src/scheduler/elastic/capacity.rs
@@ -17,7 +17,8 @@
     pub(super) available: BTreeMap<String, Resources>,
     /// The machines of `available` by equivalence class.
     pub(super) classes: EquivalenceClasses,
-    /// By zone, the number of critical places on the ordinary (not spot) machines of `available`.
+    /// By zone, the number of critical places on the machines of `available` (see
+    /// [`Machine::has_critical_places`]).
     pub(super) critical_places_by_zone: BTreeMap<String, i64>,
     /// By machine name, the resources that stops under way, except overdue ones, will free.
     pub(super) freed_by_stops: BTreeMap<String, Resources>,
@@ -84,7 +85,7 @@
     /// Updates `critical_places_by_zone` for a machine whose free resources change from `before` to `after`.
     /// A `before` of None: the machine was not counted yet.
     fn count_critical_places(&mut self, machine: &Machine, before: Option<Resources>, after: Resources) {
-        let Some(place) = self.critical_place_size.filter(|_| !machine.spot) else { return };
+        let Some(place) = self.critical_place_size.filter(|_| machine.has_critical_places()) else { return };
         let change = place.count_in(&after) - before.map_or(0, |before| place.count_in(&before));
         match self.critical_places_by_zone.get_mut(&machine.zone) {
             Some(places) => *places += change,
@@ -126,7 +127,7 @@
                     *capacity.stopping_tasks.entry(id.job_id).or_default() += 1;
                 }
             }
-            if !self.is_schedulable(machine) {
+            if !self.is_schedulable_as_last_choice(machine) {
                 continue;
             }
             let available = machine.available();
--- a/src/scheduler/elastic/headroom_guard.rs
+++ b/src/scheduler/elastic/headroom_guard.rs
@@ -4,8 +4,8 @@
 use crate::scheduler::model::{Job, Machine, Priority, Resources};
 use std::collections::BTreeMap;
 
-/// Limits how many of the critical places one job may use up. Only ordinary machines have critical
-/// places; spot machines have none.
+/// Limits how many of the critical places one job may use up. [`Machine::has_critical_places`] says which
+/// machines have any.
 pub(super) struct HeadroomGuard {
     /// Resources of one critical place. None: the job may use all of them, because it is critical or because
     /// there are no critical jobs.
@@ -28,7 +28,7 @@
     /// Whether a task with this request may use the machine, whose free resources are `available`: it must
     /// leave the headroom of the machine's zone intact or use up no critical place.
     pub(super) fn allows(&self, machine: &Machine, available: &Resources, request: &Resources) -> bool {
-        if self.critical_place.is_none() || machine.spot {
+        if self.critical_place.is_none() || !machine.has_critical_places() {
             return true;
         }
         let lost = self.critical_places_lost(available, request);
@@ -38,7 +38,7 @@
     /// Records that a task with this request is assigned to the machine, whose free resources were
     /// `available` before.
     pub(super) fn take(&mut self, machine: &Machine, available: &Resources, request: &Resources) {
-        if machine.spot {
+        if !machine.has_critical_places() {
             return;
         }
         let lost = self.critical_places_lost(available, request);
--- a/src/scheduler/fault_attribution.rs
+++ b/src/scheduler/fault_attribution.rs
@@ -63,15 +63,19 @@
         if failure == TaskFailure::NotKnownToWorker {
             return;
         }
-        if let Some(machine) = self.machines.get_mut(name).filter(|_| !suspected) {
+        // A failure of a suspected job says nothing about the machine, and must not delay other jobs.
+        if suspected {
+            return;
+        }
+        if let Some(machine) = self.machines.get_mut(name) {
             machine.health.failed_jobs.insert(job_id);
             // For a while nothing is placed here, so that other machines are tried first. A further failure of
             // the same job says nothing new about the machine and must not delay other jobs.
             if failures.count == 1 {
-                machine.health.placement_backoff_until = now + limits::PLACEMENT_BACKOFF;
+                machine.health.back_off_until(now + limits::PLACEMENT_BACKOFF);
             }
         }
-        self.replace_if_faulty(name, machine_proven_faulty);
+        self.replace_if_faulty(name, machine_proven_faulty, now);
     }
 
     /// Applies the success of this attempt of a task of the job on the machine with this name: machines on
@@ -86,7 +90,7 @@
         job.failure_history.consecutive_backoffs = 0;
         for (failed_on, failures) in std::mem::take(&mut job.failure_history.machines) {
             if failed_on != name || attempt <= failures.last_attempt {
-                self.replace_if_faulty(&failed_on, true);
+                self.replace_if_faulty(&failed_on, true, failures.last_at);
             } else if let Some(machine) = self.machines.get_mut(name) {
                 machine.health.failed_jobs.remove(&job_id);
             }
@@ -94,14 +98,18 @@
     }
 
     /// Marks a machine for replacement if it is proven faulty (a task of the failed job succeeded) or if
-    /// several jobs failed on it.
-    fn replace_if_faulty(&mut self, name: &str, proven_faulty: bool) {
+    /// several jobs failed on it, and closes it for a while after the last failure there.
+    fn replace_if_faulty(&mut self, name: &str, proven_faulty: bool, last_failure_at: Timestamp) {
         let jobs = &self.jobs;
         let Some(machine) = self.machines.get_mut(name) else { return };
         // Jobs that have become suspected since they failed do not count against the machine.
         let is_suspected = |job_id: &JobId| jobs.get(job_id).is_some_and(Job::is_suspected);
         let failures = machine.health.failed_jobs.iter().filter(|job_id| !is_suspected(job_id)).count();
-        if (proven_faulty || failures >= limits::MAX_MACHINE_FAILURES) && !machine.lifecycle.to_be_replaced {
+        if !proven_faulty && failures < limits::MAX_MACHINE_FAILURES {
+            return;
+        }
+        machine.health.back_off_until(last_failure_at + limits::FAULTY_MACHINE_BACKOFF);
+        if !machine.lifecycle.to_be_replaced {
             warn!(machine = name, "tasks fail on the machine; draining and replacing it");
             machine.lifecycle.to_be_replaced = true;
         }
--- a/src/scheduler/lease_expiry.rs
+++ b/src/scheduler/lease_expiry.rs
@@ -40,8 +40,15 @@
         self.all_accounted_for
     }
 
-    /// Whether tasks may be placed on the machine.
+    /// Whether tasks may be placed on the machine, which is not faulty.
     pub(super) fn is_schedulable(&self, machine: &Machine) -> bool {
+        !machine.lifecycle.to_be_replaced && self.is_schedulable_as_last_choice(machine)
+    }
+
+    /// Whether tasks may be placed on the machine if no other one has room. This includes machines that are
+    /// to be replaced because they are faulty, once their backoff has ended: they may be sound again, and they
+    /// cannot be replaced while they hold tasks.
+    pub(super) fn is_schedulable_as_last_choice(&self, machine: &Machine) -> bool {
         machine.state == MachineState::Ready
             && machine.accounted_for
             && machine.recorded
--- a/src/scheduler/model/job_failures.rs
+++ b/src/scheduler/model/job_failures.rs
@@ -9,6 +9,8 @@
 /// Failures of a job's tasks on one machine since a task of the job last succeeded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MachineFailures {
+    /// When the last task failed there.
+    pub last_at: Timestamp,
     /// Highest attempt number among the tasks that failed there.
     pub last_attempt: u64,
     /// Number of failures. Tasks that fail while the machine is closed to the job were started before it was
@@ -40,8 +42,9 @@
         attempt: u64,
         now: Timestamp,
     ) -> MachineFailures {
-        let none = MachineFailures { last_attempt: 0, count: 0, closed_until: Timestamp::ZERO };
+        let none = MachineFailures { last_at: now, last_attempt: 0, count: 0, closed_until: Timestamp::ZERO };
         let failures = self.machines.entry(machine.to_string()).or_insert(none);
+        failures.last_at = now;
         failures.last_attempt = failures.last_attempt.max(attempt);
         if now >= failures.closed_until {
             let backoff = limits::FAILED_MACHINE_BACKOFF * (1 << failures.count.min(10));
--- a/src/scheduler/model/machine.rs
+++ b/src/scheduler/model/machine.rs
@@ -72,6 +72,7 @@
     /// Jobs of which a task failed here while the job itself was not suspected to be faulty.
     pub failed_jobs: BTreeSet<JobId>,
     /// Until this time no task is placed here, because a task failed here or the worker refused to start one.
+    /// Set by [`MachineHealth::back_off_until`].
     pub placement_backoff_until: Timestamp,
     /// Consecutive tasks here that took more than `SLOW_FACTOR` times the mean run time of the tasks of their
     /// job that had succeeded before.
@@ -80,12 +81,21 @@
     pub quarantined_until: Timestamp,
 }
 
+impl MachineHealth {
+    /// Places no task here before `end`, or longer if a longer backoff is under way.
+    pub(in crate::scheduler) fn back_off_until(&mut self, end: Timestamp) {
+        self.placement_backoff_until = self.placement_backoff_until.max(end);
+    }
+}
+
 /// Stages of a machine between its rental and its deletion.
 #[derive(Debug, Clone, Default)]
 pub struct Lifecycle {
     /// When the cloud recalls it, if it has given notice.
     pub recall_at: Option<Timestamp>,
-    /// Whether it is to be replaced because tasks fail on it: it gets no new tasks, and is deleted once idle.
+    /// Whether it is to be replaced because tasks fail on it: it is deleted once idle. Until then it is closed
+    /// to new tasks for `FAULTY_MACHINE_BACKOFF` after each failure, and otherwise gets only tasks for which no
+    /// other machine has room.
     pub to_be_replaced: bool,
     /// Whether it is a consolidation target: an ordinary (not spot) machine to be emptied and deleted. It is
     /// needed neither for tasks that may not use spot machines nor for the headroom (places kept free for
@@ -102,10 +112,10 @@
 }
 
 impl Lifecycle {
-    /// Whether the machine is to be replaced, its deletion has been requested, or the cloud will recall it.
-    /// Operators' drains are not included; see `Drains::is_cordoned`.
+    /// Whether its deletion has been requested, or the cloud will recall it. Operators' drains are not
+    /// included; see `Drains::is_cordoned`.
     pub(in crate::scheduler) fn is_leaving(&self) -> bool {
-        self.to_be_replaced || self.deleting || self.recall_at.is_some()
+        self.deleting || self.recall_at.is_some()
     }
 }
 
@@ -199,6 +209,12 @@
             && self.tasks.values().all(|task| task.confirmed && task.stopping.is_none())
     }
 
+    /// Whether free resources on it count as critical places (room for tasks of critical services): it is
+    /// ordinary, and not faulty.
+    pub(in crate::scheduler) fn has_critical_places(&self) -> bool {
+        !self.spot && !self.lifecycle.to_be_replaced
+    }
+
     /// Number of image fetches that a task with this image would wait for: 0 if the machine has the image;
     /// otherwise 1, and 1 more for each other image that is being fetched, since they share the rate.
     pub fn image_fetches(&self, image: &str) -> i64 {
--- a/src/scheduler/overview.rs
+++ b/src/scheduler/overview.rs
@@ -153,7 +153,9 @@
             spot: machine.spot,
             phase: state_word(machine.state).to_string(),
             tasks: machine.tasks.len(),
-            leaving: machine.lifecycle.is_leaving() || self.drains.is_cordoned(&machine.name),
+            leaving: machine.lifecycle.is_leaving()
+                || machine.lifecycle.to_be_replaced
+                || self.drains.is_cordoned(&machine.name),
         }
     }
 }
--- a/src/scheduler/scoring.rs
+++ b/src/scheduler/scoring.rs
@@ -71,6 +71,8 @@
 /// changes with each task placed on the machine. Smaller is better; the fields are compared in order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Score {
+    /// Whether the machine is to be replaced because it is faulty: any other one is tried first.
+    pub is_faulty: bool,
     /// Whether tasks of the job have failed on the machine since one last succeeded: the machine may be
     /// faulty, so any other one is tried first.
     pub job_has_failed_here: bool,
@@ -90,6 +92,7 @@
     pub fn of(job: &Job, machine: &Machine, has_non_spot_work: bool) -> Self {
         let is_ordinary_for_spot_job = job.spec.allows_spot && !machine.spot;
         Score {
+            is_faulty: machine.lifecycle.to_be_replaced,
             job_has_failed_here: job.failure_history.has_failed_on(&machine.name),
             takes_from_non_spot_work: is_ordinary_for_spot_job && has_non_spot_work,
             image_fetches: machine.image_fetches(&job.spec.image),
--- a/src/scheduler/task_exit.rs
+++ b/src/scheduler/task_exit.rs
@@ -67,7 +67,7 @@
             ExitReason::NoRoom | ExitReason::Busy => {
                 let now = self.now;
                 if let Some(machine) = self.machines.get_mut(name) {
-                    machine.health.placement_backoff_until = now + limits::PLACEMENT_BACKOFF;
+                    machine.health.back_off_until(now + limits::PLACEMENT_BACKOFF);
                 }
             }
         }
--- a/tests/clusters/cluster.rs
+++ b/tests/clusters/cluster.rs
@@ -37,6 +37,8 @@
     /// Machines on which every task fails, and jobs of which every task fails.
     pub faulty_machines: BTreeSet<usize>,
     pub faulty_jobs: BTreeSet<u64>,
+    /// Jobs whose tasks run for ever, also on faulty machines.
+    pub endless_jobs: BTreeSet<u64>,
     /// For how many heartbeats a task runs; `None`: for ever.
     pub runs: Option<u64>,
     pub deleted: BTreeSet<String>,
@@ -81,6 +83,7 @@
             unreachable: BTreeSet::new(),
             faulty_machines: BTreeSet::new(),
             faulty_jobs: BTreeSet::new(),
+            endless_jobs: BTreeSet::new(),
             runs: None,
             deleted: BTreeSet::new(),
             starts: BTreeMap::new(),
@@ -146,6 +149,9 @@
     }
 
     fn status(&self, machine: usize, id: &TaskId, task: &Running) -> TaskStatus {
+        if self.endless_jobs.contains(&id.job_id.0) {
+            return TaskStatus::Running;
+        }
         if self.faulty_machines.contains(&machine) || self.faulty_jobs.contains(&id.job_id.0) {
             return TaskStatus::Exited(ExitReason::Error);
         }
--- a/tests/clusters/faults.rs
+++ b/tests/clusters/faults.rs
@@ -147,3 +147,62 @@
     cluster.heartbeats(60);
     assert_eq!((cluster.running(1), cluster.starts[&1]), (2, 3), "the silent machine, and the third one");
 }
+
+/// A machine that two jobs had failed on was closed to all jobs for as long as a task kept it from being replaced.
+#[test]
+fn jobs_start_again_on_a_faulty_machine_that_cannot_be_replaced() {
+    let mut cluster = Cluster::new(1, config().teams);
+    cluster.runs = Some(5);
+    cluster.endless_jobs = BTreeSet::from([1]);
+    cluster.submit(array(1, 1));
+    cluster.heartbeats(2);
+    cluster.faulty_machines = BTreeSet::from([0]);
+    cluster.submit(array(2, 1));
+    cluster.submit(array(3, 1));
+    cluster.heartbeats(4);
+    cluster.faulty_machines.clear();
+    cluster.submit(array(4, 1));
+    cluster.heartbeats(MAX_WAIT_BESIDE_ROOM);
+    let waiting: Vec<u64> = (2..=4).filter(|id| cluster.is_known(*id)).collect();
+    assert!(waiting.is_empty(), "jobs {waiting:?} are not done, {:?}", cluster.starts);
+    assert_eq!(cluster.running(1), 1, "the long task went on");
+}
+
+/// One failure of a job that has succeeded elsewhere closed its machine to all jobs in the same way.
+#[test]
+fn a_job_that_succeeded_elsewhere_returns_to_the_machine_that_failed_it_if_no_other_has_room() {
+    let mut cluster = Cluster::new(2, config().teams);
+    cluster.runs = Some(5);
+    cluster.endless_jobs = BTreeSet::from([1]);
+    cluster.submit(array(1, 1));
+    cluster.heartbeats(2);
+    cluster.faulty_machines = BTreeSet::from([0]);
+    cluster.submit(array(2, 12));
+    cluster.heartbeats(8);
+    cluster.faulty_machines.clear();
+    // The second machine is lost.
+    cluster.machines.remove(&1);
+    cluster.heartbeats(MAX_WAIT_BESIDE_ROOM);
+    assert!(!cluster.is_known(2), "{:?}", cluster.starts);
+    assert_eq!(cluster.running(1), 1, "the long task went on");
+}
+
+/// A faulty machine that is open again must come last.
+#[test]
+fn a_faulty_machine_gets_no_task_while_another_has_room() {
+    let mut cluster = Cluster::new(3, config().teams);
+    cluster.runs = Some(5);
+    cluster.endless_jobs = BTreeSet::from([1]);
+    cluster.submit(array(1, 1));
+    cluster.heartbeats(2);
+    cluster.faulty_machines = BTreeSet::from([0]);
+    (2..=4).for_each(|id| cluster.submit(array(id, 1)));
+    cluster.heartbeats(80);
+    let starts_before: usize = cluster.starts.values().sum();
+    for id in 5..25 {
+        cluster.submit(array(id, 4));
+        cluster.heartbeats(6);
+    }
+    let starts: usize = cluster.starts.values().sum();
+    assert_eq!(starts - starts_before, 80, "a start on the faulty machine fails and is repeated");
+}
