Choose the zone of a one-zone job among machines that it may use, sound ones first

What callers would see: a gang or an array that needs one zone, and one of whose tasks failed, waits although another zone has room for all of it.

Cause: `best_zone_for_all_tasks` counted machines that the filter then refuses, so that the zone of a machine closed to the job won and nothing was placed.

Now the zone is chosen among the machines that pass the filter, and machines that may be faulty (to be replaced, or tasks of the job failed there) count only where the zones do not differ otherwise.

Test: clusters `a_one_zone_job_whose_task_failed_goes_to_another_zone`, which fails before the fix: the gang begins 24 starts in the zone of a machine that goes on failing and is not done after 25 s, beside a free zone.

--- a/src/scheduler/elastic/candidates.rs
+++ b/src/scheduler/elastic/candidates.rs
@@ -107,7 +107,7 @@
     /// machine that consolidation empties is closed to jobs that may use spot machines (exception 3 of
     /// `docs/design.md`). A machine that replaces one under drain is reserved for critical jobs and the
     /// tasks that move off the drained machine. A quarantined machine takes services only.
-    fn passes_filter(&self, job: &Job, machine: &Machine) -> bool {
+    pub(super) fn passes_filter(&self, job: &Job, machine: &Machine) -> bool {
         scoring::is_eligible(job, machine)
             && !job.avoids(&machine.name, self.now)
             && !(machine.lifecycle.to_be_emptied && job.spec.allows_spot)
--- a/src/scheduler/elastic/zone_choice.rs
+++ b/src/scheduler/elastic/zone_choice.rs
@@ -3,7 +3,6 @@
 
 use super::capacity::FreeCapacity;
 use crate::scheduler::model::{Job, Kind, Machine};
-use crate::scheduler::scoring;
 use crate::scheduler::Scheduler;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -32,6 +31,8 @@
 /// How long a task would wait until it starts. Smaller is better; the fields are compared in order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct StartDelay {
+    /// Whether the machine may be faulty (see [`Scheduler::may_fail_on`]): the start is likely to be repeated.
+    may_fail: bool,
     /// See [`Machine::image_fetches`].
     image_fetches: i64,
     /// Seconds until the machine's next heartbeat.
@@ -39,8 +40,9 @@
 }
 
 impl StartDelay {
-    const ZERO: StartDelay = StartDelay { image_fetches: 0, heartbeat_due_s: 0 };
-    const NEVER: StartDelay = StartDelay { image_fetches: i64::MAX, heartbeat_due_s: i64::MAX };
+    const ZERO: StartDelay = StartDelay { may_fail: false, image_fetches: 0, heartbeat_due_s: 0 };
+    const NEVER: StartDelay =
+        StartDelay { may_fail: true, image_fetches: i64::MAX, heartbeat_due_s: i64::MAX };
 }
 
 /// Free slots for tasks of the job on one machine. Those where tasks start earliest sort first.
@@ -55,6 +57,8 @@
 struct ZoneScore {
     /// For a gang: the delay until its last task would start. None for other jobs.
     last_start: Option<Reverse<StartDelay>>,
+    /// Number of free slots in the zone on machines that are not likely to be faulty.
+    sound_slots: i64,
     /// Number of free slots in the zone.
     slots: i64,
 }
@@ -77,7 +81,7 @@
         let tasks = i64::from(job.spec.tasks);
         let mut zones: BTreeMap<&str, Vec<Slots>> = BTreeMap::new();
         for (name, available) in &capacity.available {
-            let machine = self.machines.get(name).filter(|machine| scoring::is_eligible(job, machine));
+            let machine = self.machines.get(name).filter(|machine| self.passes_filter(job, machine));
             let Some(machine) = machine else { continue };
             let count = job.spec.resource_request.count_in(available).min(tasks);
             if count > 0 {
@@ -89,15 +93,22 @@
         scored.max().map(|(_, zone)| zone.to_string())
     }
 
-    /// How long a task of the job would wait on the machine. Zero unless the job is a gang, as only gangs are
-    /// compared by it.
+    /// Whether the machine may be faulty: it is to be replaced, or tasks of the job have failed on it.
+    fn may_fail_on(job: &Job, machine: &Machine) -> bool {
+        machine.lifecycle.to_be_replaced || job.failure_history.has_failed_on(&machine.name)
+    }
+
+    /// How long a task of the job would wait on the machine. The durations are zero unless the job is a gang,
+    /// as only gangs are compared by them.
     fn start_delay(&self, job: &Job, machine: &Machine) -> StartDelay {
+        let may_fail = Self::may_fail_on(job, machine);
         match job.spec.kind {
             Kind::Gang => StartDelay {
+                may_fail,
                 image_fetches: machine.image_fetches(&job.spec.image),
                 heartbeat_due_s: self.heartbeat_due_s(machine),
             },
-            Kind::Array | Kind::Service => StartDelay::ZERO,
+            Kind::Array | Kind::Service => StartDelay { may_fail, ..StartDelay::ZERO },
         }
     }
 }
@@ -105,6 +116,8 @@
 fn zone_score(job: &Job, mut slots: Vec<Slots>) -> ZoneScore {
     slots.sort_unstable();
     let total = slots.iter().map(|slots| slots.count).sum();
+    let sound = slots.iter().filter(|slots| !slots.delay.may_fail);
+    let sound_slots = sound.map(|slots| slots.count).sum();
     let mut unplaced_tasks = i64::from(job.spec.tasks);
     let last = slots.iter().find(|slots| {
         unplaced_tasks -= slots.count;
@@ -112,7 +125,7 @@
     });
     let last_start = last.map_or(StartDelay::NEVER, |slots| slots.delay);
     let is_gang = job.spec.kind == Kind::Gang;
-    ZoneScore { last_start: is_gang.then_some(Reverse(last_start)), slots: total }
+    ZoneScore { last_start: is_gang.then_some(Reverse(last_start)), sound_slots, slots: total }
 }
 
 #[cfg(test)]
--- a/src/scheduler/elastic/zone_choice_tests.rs
+++ b/src/scheduler/elastic/zone_choice_tests.rs
@@ -5,7 +5,7 @@
 use crate::scheduler::scoring::tests::{job, spec};
 
 fn slots(image_fetches: i64, heartbeat_due_s: i64, count: i64) -> Slots {
-    Slots { delay: StartDelay { image_fetches, heartbeat_due_s }, count }
+    Slots { delay: StartDelay { may_fail: false, image_fetches, heartbeat_due_s }, count }
 }
 
 fn one_zone_job(kind: Kind, tasks: u32) -> Job {
--- a/tests/clusters/cluster.rs
+++ b/tests/clusters/cluster.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 const SLOTS: f64 = 4.0;
+const ZONES: [&str; 2] = ["a", "b"];
 
 /// A task on a worker.
 struct Running {
@@ -29,6 +30,8 @@
     now: Timestamp,
     sequence: u64,
     token: FencingToken,
+    /// Machines with this number and higher are in the second zone.
+    second_zone_from: usize,
     /// Machines that are there and report.
     pub machines: BTreeSet<usize>,
     tasks: BTreeMap<usize, BTreeMap<TaskId, Running>>,
@@ -58,7 +61,7 @@
         spot_price: None,
         boot_s: 60.0,
         fetch_gb_per_s: 1.0,
-        zones: vec!["a".into()],
+        zones: ZONES.map(String::from).to_vec(),
     }
 }
 
@@ -68,17 +71,24 @@
 }
 
 impl Cluster {
+    /// All machines in one zone.
     pub fn new(machines: usize, teams: Vec<Team>) -> Cluster {
+        Cluster::in_two_zones(machines, 0, teams)
+    }
+
+    /// The first machines are in zone "a", the others in zone "b".
+    pub fn in_two_zones(first: usize, second: usize, teams: Vec<Team>) -> Cluster {
         // Machines without work are kept: here they are there to be looked at.
         let operator = Operator { idle_s: 3_600.0, ..Operator::default() };
-        let config = Config { operator, teams, zones: vec!["a".into()], ..common::config() };
+        let config = Config { operator, teams, zones: ZONES.map(String::from).to_vec(), ..common::config() };
         let mut cluster = Cluster {
             scheduler: Scheduler::new(config.clone(), Timestamp::from_secs(1)),
             config,
             now: Timestamp::from_secs(1),
             sequence: 0,
             token: FencingToken(1),
-            machines: (0..machines).collect(),
+            second_zone_from: first,
+            machines: (0..first + second).collect(),
             tasks: BTreeMap::new(),
             unreachable: BTreeSet::new(),
             faulty_machines: BTreeSet::new(),
@@ -161,6 +171,10 @@
         }
     }
 
+    fn zone(&self, machine: usize) -> String {
+        ZONES[usize::from(machine >= self.second_zone_from)].into()
+    }
+
     fn heartbeat(&mut self, machine: usize) {
         let tasks = self.tasks.get(&machine).into_iter().flatten();
         let tasks = tasks.map(|(id, task)| ReportedTask {
@@ -172,7 +186,7 @@
             machine: machine_name(machine),
             address: String::new(),
             machine_type: "m".into(),
-            zone: "a".into(),
+            zone: self.zone(machine),
             spot: false,
             agent_epoch: 1,
             sequence: self.sequence,
@@ -208,7 +222,7 @@
         let machine = |machine: &usize| StoredMachine {
             name: machine_name(*machine),
             machine_type: "m".into(),
-            zone: "a".into(),
+            zone: self.zone(*machine),
             spot: false,
             address: String::new(),
             images: BTreeSet::new(),
--- a/tests/clusters/faults.rs
+++ b/tests/clusters/faults.rs
@@ -206,3 +206,23 @@
     let starts: usize = cluster.starts.values().sum();
     assert_eq!(starts - starts_before, 80, "a start on the faulty machine fails and is repeated");
 }
+
+/// A job that needs one zone kept to the zone of the machine that failed it, although another zone had room.
+#[test]
+fn a_one_zone_job_whose_task_failed_goes_to_another_zone() {
+    for kind in [Kind::Gang, Kind::Array] {
+        let mut cluster = Cluster::in_two_zones(2, 2, config().teams);
+        cluster.runs = Some(5);
+        cluster.faulty_machines = BTreeSet::from([2]);
+        // The first zone is full until the job has failed in the second one.
+        cluster.endless_jobs = BTreeSet::from([2]);
+        cluster.submit(JobSpec { required_zone: Some("a".into()), image: "other".into(), ..array(2, 8) });
+        cluster.heartbeats(2);
+        cluster.submit(JobSpec { one_zone: true, ..spec(1, kind, Priority::Normal, 8) });
+        // The faulty machine gets no task of any job for a few seconds; these must have passed.
+        cluster.heartbeats(9);
+        cluster.step(vec![Command::JobRemoved(JobId(2))]);
+        cluster.heartbeats(25);
+        assert!(!cluster.is_known(1), "{kind:?}: {:?}", cluster.starts);
+    }
+}
