Forget failures of jobs and machines after ten minutes

What callers would see: a replica of a service that ran well for months waits up to 60 s to be replaced after a failure, because three failures earlier in its life made the service suspected for good; and a sound machine is replaced because tasks of two jobs failed there, however long apart.

Found by reading.

Now a job without failures for ten minutes has a clean record, and failures on a machine count for as long. A job that always fails is retried at least once a minute, so that its record remains. The record of a job names 64 machines at the most, so that such a job does not try every machine of a large cluster in turn.

Tests (tests/clusters/faults.rs), both fail before the fix: a service is not running 6 s after one failure in 11 minutes; a machine is replaced after two failures 11 minutes apart.

--- a/src/limits/scheduling.rs
+++ b/src/limits/scheduling.rs
@@ -48,10 +48,18 @@
 /// A stop that is not confirmed this long after its grace period is overdue: the task's resources are no
 /// longer expected to become free soon.
 pub const STOP_TIMEOUT: Duration = Duration::from_secs(4);
+/// A job whose tasks have not failed for this long has a clean record, and a failure on a machine counts against
+/// it for this long. A job that always fails is retried at least every `MAX_JOB_BACKOFF`, so that its record
+/// remains.
+pub const FAILURE_MEMORY: Duration = Duration::from_secs(600);
+/// The most machines in the failure record of a job, which bounds its memory and the machines that a job that
+/// always fails tries.
+pub const MAX_MACHINES_IN_FAILURE_RECORD: usize = 64;
 /// A faulty machine that cannot be replaced yet, since it still holds tasks, gets no new ones for this long after
 /// a failure. Bounded for the same reason as `MAX_JOB_BACKOFF`.
 pub const FAULTY_MACHINE_BACKOFF: Duration = Duration::from_secs(60);
-/// A machine is replaced once tasks of this many jobs have failed on it, not counting suspected jobs.
+/// A machine is replaced once tasks of this many jobs have failed on it within `FAILURE_MEMORY`, not counting
+/// suspected jobs.
 pub const MAX_MACHINE_FAILURES: usize = 2;
 /// A job of which no task has succeeded is suspected of being faulty once it has failed on this many
 /// machines. Where one machine in thirty is faulty, two faulty ones in a row may be chance, three hardly.
--- a/src/scheduler/fault_attribution.rs
+++ b/src/scheduler/fault_attribution.rs
@@ -68,7 +68,7 @@
             return;
         }
         if let Some(machine) = self.machines.get_mut(name) {
-            machine.health.failed_jobs.insert(job_id);
+            machine.health.failed_jobs.insert(job_id, now);
             // For a while nothing is placed here, so that other machines are tried first. A further failure of
             // the same job says nothing new about the machine and must not delay other jobs.
             if failures.count == 1 {
@@ -100,11 +100,12 @@
     /// Marks a machine for replacement if it is proven faulty (a task of the failed job succeeded) or if
     /// several jobs failed on it, and closes it for a while after the last failure there.
     fn replace_if_faulty(&mut self, name: &str, proven_faulty: bool, last_failure_at: Timestamp) {
-        let jobs = &self.jobs;
+        let (jobs, now) = (&self.jobs, self.now);
         let Some(machine) = self.machines.get_mut(name) else { return };
+        machine.health.failed_jobs.retain(|_, failed_at| now < *failed_at + limits::FAILURE_MEMORY);
         // Jobs that have become suspected since they failed do not count against the machine.
         let is_suspected = |job_id: &JobId| jobs.get(job_id).is_some_and(Job::is_suspected);
-        let failures = machine.health.failed_jobs.iter().filter(|job_id| !is_suspected(job_id)).count();
+        let failures = machine.health.failed_jobs.keys().filter(|job_id| !is_suspected(job_id)).count();
         if !proven_faulty && failures < limits::MAX_MACHINE_FAILURES {
             return;
         }
--- a/src/scheduler/model/job_failures.rs
+++ b/src/scheduler/model/job_failures.rs
@@ -34,16 +34,16 @@
 }
 
 impl JobFailures {
-    /// Records that a task of the job failed on the machine at `now`, and closes the machine to the job:
-    /// for `FAILED_MACHINE_BACKOFF`, twice as long with each further failure, `MAX_JOB_BACKOFF` at most.
+    /// Records that a task of the job failed on the machine at `now`, and closes the machine to the job: for `FAILED_MACHINE_BACKOFF`, twice as long with each further failure, `MAX_JOB_BACKOFF` at most.
     pub(in crate::scheduler) fn record(
         &mut self,
         machine: &str,
         attempt: u64,
         now: Timestamp,
     ) -> MachineFailures {
+        self.forget_old(now);
         let none = MachineFailures { last_at: now, last_attempt: 0, count: 0, closed_until: Timestamp::ZERO };
-        let failures = self.machines.entry(machine.to_string()).or_insert(none);
+        let mut failures = self.machines.get(machine).copied().unwrap_or(none);
         failures.last_at = now;
         failures.last_attempt = failures.last_attempt.max(attempt);
         if now >= failures.closed_until {
@@ -51,7 +51,19 @@
             failures.count += 1;
             failures.closed_until = now + backoff.min(limits::MAX_JOB_BACKOFF);
         }
-        *failures
+        if self.has_failed_on(machine) || self.machines.len() < limits::MAX_MACHINES_IN_FAILURE_RECORD {
+            self.machines.insert(machine.to_string(), failures);
+        }
+        failures
+    }
+
+    /// Clears the record if no task has failed for `FAILURE_MEMORY`. Otherwise a service, of which no task ever
+    /// succeeds, would be suspected for good after a few failures in its life.
+    fn forget_old(&mut self, now: Timestamp) {
+        let last_at = self.machines.values().map(|failures| failures.last_at).max();
+        if last_at.is_some_and(|last_at| now >= last_at + limits::FAILURE_MEMORY) {
+            *self = JobFailures::default();
+        }
     }
 
     /// Whether tasks of the job have failed on the machine with this name since one last succeeded.
--- a/src/scheduler/model/machine.rs
+++ b/src/scheduler/model/machine.rs
@@ -69,8 +69,9 @@
 /// Failures and slow tasks that are attributed to a machine.
 #[derive(Debug, Clone, Default)]
 pub struct MachineHealth {
-    /// Jobs of which a task failed here while the job itself was not suspected to be faulty.
-    pub failed_jobs: BTreeSet<JobId>,
+    /// Jobs of which a task failed here while the job itself was not suspected to be faulty, and when one last
+    /// did.
+    pub failed_jobs: BTreeMap<JobId, Timestamp>,
     /// Until this time no task is placed here, because a task failed here or the worker refused to start one.
     /// Set by [`MachineHealth::back_off_until`].
     pub placement_backoff_until: Timestamp,
--- a/tests/clusters/faults.rs
+++ b/tests/clusters/faults.rs
@@ -4,7 +4,7 @@
 use crate::common::{config, spec};
 use dockpier::scheduler::model::{JobId, JobSpec, Kind, Priority};
 use dockpier::scheduler::Command;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 const MACHINES: usize = 12;
 
@@ -226,3 +226,39 @@
         assert!(!cluster.is_known(1), "{kind:?}: {:?}", cluster.starts);
     }
 }
+
+/// Longer than failures count.
+const LONG_WITHOUT_FAILURES: usize = 660;
+
+/// A service was suspected for the rest of its life after failures on three machines, since no replica ever succeeds.
+#[test]
+fn a_service_that_has_run_well_for_long_is_replaced_at_once_after_a_failure() {
+    let mut cluster = cluster(&[], &[1]);
+    cluster.runs = None;
+    cluster.submit(spec(1, Kind::Service, Priority::Critical, 1));
+    cluster.heartbeats(150);
+    cluster.faulty_jobs.clear();
+    cluster.heartbeats(LONG_WITHOUT_FAILURES);
+    assert_eq!(cluster.running(1), 1);
+    let starts = cluster.starts[&1];
+    cluster.faulty_jobs = BTreeSet::from([1]);
+    cluster.heartbeats(1);
+    cluster.faulty_jobs.clear();
+    cluster.heartbeats(5);
+    assert_eq!((cluster.running(1), cluster.starts[&1]), (1, starts + 1));
+}
+
+/// Failures of different jobs counted against a machine for as long as it was there.
+#[test]
+fn two_failures_long_apart_do_not_condemn_a_machine() {
+    let mut cluster = Cluster::new(1, config().teams);
+    cluster.faulty_jobs = BTreeSet::from([1, 2]);
+    for id in [1, 2] {
+        cluster.submit(array(id, 1));
+        cluster.heartbeats(3);
+        cluster.step(vec![Command::JobRemoved(JobId(id))]);
+        cluster.heartbeats(LONG_WITHOUT_FAILURES);
+    }
+    assert_eq!(cluster.starts, BTreeMap::from([(1, 1), (2, 1)]));
+    assert!(cluster.deleted.is_empty(), "the machine was replaced");
+}
