Blame no machine for a start that it refused because it did not know the job

What callers would see: a sound machine is replaced after one start that its worker refused as `unknown`, if the job succeeds elsewhere.

Cause: the refusal entered the machine in the job's failures, and the next success of the job takes all machines there as proven faulty, which closes them to every job. PROTOCOL has `unknown` as "no such job or task, or the job has not been submitted": it says nothing about the machine.

Now the machine is avoided by the job for a while, as after other failures, and not blamed.

Test: clusters `a_machine_that_did_not_know_a_job_is_not_faulty`, which fails before the fix (machine replaced).

--- a/src/scheduler/fault_attribution.rs
+++ b/src/scheduler/fault_attribution.rs
@@ -5,22 +5,12 @@
 //! that fails on several machines is most likely faulty: its backoff grows with each failure, and it does not
 //! count against machines.
 
-use super::model::{Job, JobId};
+use super::model::{Job, JobId, TaskFailure};
 use super::Scheduler;
 use crate::limits;
 use crate::time::Timestamp;
 use tracing::{info, warn};
 
-/// How a task failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum TaskFailure {
-    /// It started, and exited with an error.
-    WhileRunning,
-    /// The worker reported that it did not know the task (exit reason `unknown`): the job backs off, the
-    /// machine does not.
-    NotKnownToWorker,
-}
-
 impl Job {
     /// Whether the job itself is most likely faulty: no task of it has succeeded, and it has failed on
     /// several machines.
@@ -47,12 +37,18 @@
     ) {
         let now = self.now;
         let Some(job) = self.jobs.get_mut(&job_id) else { return };
-        let failures = job.failure_history.record(name, attempt, now);
+        let failures = job.failure_history.record(name, attempt, failure, now);
         let machine_proven_faulty = !job.progress.succeeded.is_empty();
         let suspected = job.is_suspected();
         if !suspected {
             let closed_for_s = failures.closed_until.since(now).as_secs();
-            info!(job = %job_id, machine = name, failures = failures.count, closed_for_s, "task failed; machine closed to the job");
+            info!(
+                job = %job_id,
+                machine = name,
+                failures = failures.count,
+                closed_for_s,
+                "task failed; machine closed to the job"
+            );
         }
         if suspected || failure == TaskFailure::NotKnownToWorker {
             // A job that fails everywhere must not be restarted in a tight loop.
@@ -89,9 +85,10 @@
         job.failure_history.backoff_until = Timestamp::ZERO;
         job.failure_history.consecutive_backoffs = 0;
         for (failed_on, failures) in std::mem::take(&mut job.failure_history.machines) {
-            if failed_on != name || attempt <= failures.last_attempt {
+            let succeeded_later = failed_on == name && attempt > failures.last_attempt;
+            if !succeeded_later && failures.any_while_running {
                 self.replace_if_faulty(&failed_on, true, failures.last_at);
-            } else if let Some(machine) = self.machines.get_mut(name) {
+            } else if let Some(machine) = self.machines.get_mut(&failed_on) {
                 machine.health.failed_jobs.remove(&job_id);
             }
         }
--- a/src/scheduler/model/job_failures.rs
+++ b/src/scheduler/model/job_failures.rs
@@ -6,6 +6,16 @@
 use crate::time::Timestamp;
 use std::collections::BTreeMap;
 
+/// How a task failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TaskFailure {
+    /// It started, and exited with an error.
+    WhileRunning,
+    /// The worker reported that it did not know the task (exit reason `unknown`): the job backs off, and the
+    /// machine is not at fault.
+    NotKnownToWorker,
+}
+
 /// Failures of a job's tasks on one machine since a task of the job last succeeded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MachineFailures {
@@ -13,6 +23,8 @@
     pub last_at: Timestamp,
     /// Highest attempt number among the tasks that failed there.
     pub last_attempt: u64,
+    /// Whether any task failed while it was running there.
+    pub any_while_running: bool,
     /// Number of failures. Tasks that fail while the machine is closed to the job were started before it was
     /// closed, and are not counted again.
     pub count: u32,
@@ -34,17 +46,26 @@
 }
 
 impl JobFailures {
-    /// Records that a task of the job failed on the machine at `now`, and closes the machine to the job: for `FAILED_MACHINE_BACKOFF`, twice as long with each further failure, `MAX_JOB_BACKOFF` at most.
+    /// Records that a task of the job failed on the machine at `now`, and closes the machine to the job: for
+    /// `FAILED_MACHINE_BACKOFF`, twice as long with each further failure, `MAX_JOB_BACKOFF` at most.
     pub(in crate::scheduler) fn record(
         &mut self,
         machine: &str,
         attempt: u64,
+        failure: TaskFailure,
         now: Timestamp,
     ) -> MachineFailures {
         self.forget_old(now);
-        let none = MachineFailures { last_at: now, last_attempt: 0, count: 0, closed_until: Timestamp::ZERO };
+        let none = MachineFailures {
+            last_at: now,
+            last_attempt: 0,
+            any_while_running: false,
+            count: 0,
+            closed_until: Timestamp::ZERO,
+        };
         let mut failures = self.machines.get(machine).copied().unwrap_or(none);
         failures.last_at = now;
+        failures.any_while_running |= failure == TaskFailure::WhileRunning;
         failures.last_attempt = failures.last_attempt.max(attempt);
         if now >= failures.closed_until {
             let backoff = limits::FAILED_MACHINE_BACKOFF * (1 << failures.count.min(10));
--- a/src/scheduler/task_exit.rs
+++ b/src/scheduler/task_exit.rs
@@ -1,7 +1,6 @@
 //! Applies the exits of tasks to their jobs and machines. Called by `task_lists`.
 
-use super::fault_attribution::TaskFailure;
-use super::model::{ExitReason, JobId, Kind, TaskAttempt, TaskId, TerminationProof};
+use super::model::{ExitReason, JobId, Kind, TaskAttempt, TaskFailure, TaskId, TerminationProof};
 use super::Scheduler;
 use crate::limits;
 use crate::time::to_micros;
--- a/tests/clusters/cluster.rs
+++ b/tests/clusters/cluster.rs
@@ -40,6 +40,8 @@
     /// Machines on which every task fails, and jobs of which every task fails.
     pub faulty_machines: BTreeSet<usize>,
     pub faulty_jobs: BTreeSet<u64>,
+    /// Machines that do not know any job whose start they get.
+    pub uninformed_machines: BTreeSet<usize>,
     /// Jobs whose tasks run for ever, also on faulty machines.
     pub endless_jobs: BTreeSet<u64>,
     /// For how many heartbeats a task runs; `None`: for ever.
@@ -93,6 +95,7 @@
             unreachable: BTreeSet::new(),
             faulty_machines: BTreeSet::new(),
             faulty_jobs: BTreeSet::new(),
+            uninformed_machines: BTreeSet::new(),
             endless_jobs: BTreeSet::new(),
             runs: None,
             deleted: BTreeSet::new(),
@@ -162,6 +165,9 @@
         if self.endless_jobs.contains(&id.job_id.0) {
             return TaskStatus::Running;
         }
+        if self.uninformed_machines.contains(&machine) {
+            return TaskStatus::Exited(ExitReason::Unknown);
+        }
         if self.faulty_machines.contains(&machine) || self.faulty_jobs.contains(&id.job_id.0) {
             return TaskStatus::Exited(ExitReason::Error);
         }
--- a/tests/clusters/faults.rs
+++ b/tests/clusters/faults.rs
@@ -262,3 +262,18 @@
     assert_eq!(cluster.starts, BTreeMap::from([(1, 1), (2, 1)]));
     assert!(cluster.deleted.is_empty(), "the machine was replaced");
 }
+
+/// A machine that refused a start because it did not know the job yet was replaced when the job succeeded elsewhere.
+#[test]
+fn a_machine_that_did_not_know_a_job_is_not_faulty() {
+    let mut cluster = Cluster::new(2, config().teams);
+    cluster.runs = Some(5);
+    cluster.uninformed_machines = BTreeSet::from([0]);
+    cluster.submit(array(1, 8));
+    cluster.heartbeats(4);
+    cluster.uninformed_machines.clear();
+    cluster.heartbeats(30);
+    assert!(!cluster.is_known(1), "{:?}", cluster.starts);
+    assert!(cluster.starts[&1] > 8, "no start was refused");
+    assert!(cluster.deleted.is_empty(), "the machine was replaced");
+}
