Pass no start of a cancelled job on to its worker

What callers would see: a task of a job starts up to 1.5 s after its cancellation was confirmed to its user, and is stopped with the machine's next heartbeat.

Cause: a leaseholder that passes the leader's response on added stops for jobs that it knows as cancelled, but let starts through. A start that was on its way from the leader while another controller confirmed the cancellation, with this leaseholder's own attestation, reached the worker.

Now such starts are left out. The leader sees that the next heartbeat does not list the task.

Test: `a_start_of_a_job_that_is_known_as_cancelled_is_not_passed_on`, which fails before the fix.

--- a/crates/dockpier-simulation/examples/transcript/network/clients.rs
+++ b/crates/dockpier-simulation/examples/transcript/network/clients.rs
@@ -203,7 +203,7 @@
         let line = line.with("token", heartbeat.token).with("stops", known);
         let leadership = &self.nodes[node].leadership;
         if let Some(token) = leadership.authority(now) {
-            let commands = leadership.cancellations.with_stop_commands(Vec::new(), &heartbeat);
+            let commands = leadership.cancellations.with_cancellations_applied(Vec::new(), &heartbeat);
             return self.answered(line.with("by", "leader"), token, commands);
         }
         if let Some((token, stops)) = leadership.keep_alive_token(now).zip(autonomous_stops.clone()) {
@@ -250,7 +250,8 @@
             self.note(line.with("by", "nobody"));
             return None;
         };
-        let commands = self.nodes[leader].leadership.cancellations.with_stop_commands(Vec::new(), &heartbeat);
+        let commands =
+            self.nodes[leader].leadership.cancellations.with_cancellations_applied(Vec::new(), &heartbeat);
         let wakes = self.rng.random_bool(0.1);
         let machine = heartbeat.machine.clone();
         let shard = &mut self.nodes[node].shard;
--- a/src/controller/heartbeat_routing.rs
+++ b/src/controller/heartbeat_routing.rs
@@ -126,7 +126,7 @@
             return self.relay_or_redirect(now, heartbeat, to);
         }
         let response_id = self.routing.request_ids.take();
-        let stops = self.leadership.cancellations.with_stop_commands(Vec::new(), &heartbeat);
+        let stops = self.leadership.cancellations.with_cancellations_applied(Vec::new(), &heartbeat);
         self.routing.pending_replies.insert(response_id, ReplyTo::Worker(to, stops));
         commands.push(Command::Heartbeat { response_id, heartbeat, relayed_by: None });
     }
@@ -355,7 +355,7 @@
         let reply = match token {
             Some(token) => {
                 let task_commands =
-                    self.leadership.cancellations.with_stop_commands(task_commands, &heartbeat);
+                    self.leadership.cancellations.with_cancellations_applied(task_commands, &heartbeat);
                 self.routing.shard.record_relayed_response(now, heartbeat, token, leaseholder_may_respond);
                 self.routing.accept(token, LeaseRenewal::relayed(), &task_commands)
             }
--- a/src/leadership/tests/workers.rs
+++ b/src/leadership/tests/workers.rs
@@ -324,6 +324,6 @@
         let stop =
             |task: &ReportedTask| TaskCommand::Stop { id: task.id, attempt: task.attempt, grace_s: 0.0 };
         (now < cancellations.may_keep_alive_until())
-            .then(|| cancellations.with_stop_commands(orphaned.map(stop).collect(), heartbeat))
+            .then(|| cancellations.with_cancellations_applied(orphaned.map(stop).collect(), heartbeat))
     }
 }
--- a/src/lease/cancellation_log.rs
+++ b/src/lease/cancellation_log.rs
@@ -215,13 +215,15 @@
         Some(stops)
     }
 
-    /// The commands of a response to the heartbeat, with the missing stop commands for tasks of ended jobs
-    /// added.
-    pub fn with_stop_commands(
+    /// The commands of a response to the heartbeat, without starts of tasks of ended jobs, and with the missing
+    /// stop commands for such tasks added. A start may have been on its way from the leader while the job was
+    /// cancelled; nothing may start once the cancellation is confirmed to its user.
+    pub fn with_cancellations_applied(
         &self,
         mut task_commands: Vec<TaskCommand>,
         heartbeat: &Heartbeat,
     ) -> Vec<TaskCommand> {
+        task_commands.retain(|command| !self.starts_ended_job(command));
         let terminated = |task: &&ReportedTask| self.is_terminated(task.id.job_id) && is_alive(task);
         for task in heartbeat.tasks.iter().filter(terminated) {
             if !task_commands.iter().any(|command| stops_task(command, task)) {
@@ -231,6 +233,13 @@
         task_commands
     }
 
+    fn starts_ended_job(&self, command: &TaskCommand) -> bool {
+        match command {
+            TaskCommand::Start { id, .. } => self.is_terminated(id.job_id),
+            TaskCommand::Stop { .. } | TaskCommand::Forget { .. } => false,
+        }
+    }
+
     /// Applies the live jobs as read by a request that was sent at `requested_at`. If `complete`, `added`
     /// lists all live jobs; otherwise `added` and `removed` are the changes since the last reading. Returns
     /// the jobs that this node did not yet know to have ended.
--- a/src/lease/cancellation_log_tests.rs
+++ b/src/lease/cancellation_log_tests.rs
@@ -67,7 +67,7 @@
     assert_eq!(exchange(NOW + 2 * SECOND, &mut node_0, &mut node_1, StoreAccess::Available), [JobId(1)]);
     let stop = TaskCommand::Stop { id: TaskId { job_id: JobId(1), task: 0 }, attempt: 3, grace_s: 0.0 };
     assert_eq!(node_1.stop_commands(&heartbeat(&[1, 2])), Some(vec![stop.clone()]));
-    assert_eq!(node_1.with_stop_commands(vec![stop.clone()], &heartbeat(&[1, 2])), [stop]);
+    assert_eq!(node_1.with_cancellations_applied(vec![stop.clone()], &heartbeat(&[1, 2])), [stop]);
     // A job that is not among the live jobs may have been cancelled before this incarnation began: it is not
     // kept alive.
     assert_eq!(node_1.stop_commands(&heartbeat(&[2, 9])), None);
@@ -76,6 +76,23 @@
     assert!(node_1.is_terminated(JobId(1)) && !node_1.is_live(JobId(1)));
 }
 
+/// A leader's start that was on its way reached the worker after the cancellation of its job was confirmed, though
+/// the leaseholder that passed it on knew of the cancellation.
+#[test]
+fn a_start_of_a_job_that_is_known_as_cancelled_is_not_passed_on() {
+    let (mut node_0, mut node_1) = two_nodes();
+    let start = |job_id| TaskCommand::Start { id: TaskId { job_id: JobId(job_id), task: 0 }, attempt: 4 };
+    let from_leader = vec![start(1), start(2)];
+    assert_eq!(node_1.with_cancellations_applied(from_leader.clone(), &heartbeat(&[])), from_leader);
+    assert!(node_0.confirm(NOW + 2 * SECOND, JobId(1)).is_new);
+    node_1.observe_heartbeat(0, 70, true, NOW);
+    exchange(NOW + 2 * SECOND, &mut node_0, &mut node_1, StoreAccess::Available);
+    assert_eq!(node_1.with_cancellations_applied(from_leader, &heartbeat(&[])), [start(2)]);
+    // A command to forget an exited task of the job is passed on.
+    let forget = TaskCommand::Forget { id: TaskId { job_id: JobId(1), task: 0 }, attempt: 3 };
+    assert_eq!(node_1.with_cancellations_applied(vec![forget.clone()], &heartbeat(&[])), [forget]);
+}
+
 #[test]
 fn attestations_of_a_new_incarnation_apply_only_after_a_read_of_the_store() {
     let (mut node_0, mut node_1) = two_nodes();
