Tests: late copies of start commands, direct commands and frames between controllers

`late_copies` in `loopback`: three real controllers whose links deliver each frame once more 20 ms to 6 s later, while controllers are killed and are back at once, tasks are moved and jobs are cancelled, and workers forget tasks after `reap`.

--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -4,6 +4,7 @@
 mod close_looks;
 mod cold_start;
 mod draining;
+mod late_copies;
 mod late_writes;
 #[path = "../common/processes.rs"]
 mod processes;
@@ -71,6 +72,22 @@
     operator: Option<&str>,
 ) -> (Vec<Node>, Vec<SocketAddr>) {
     let addresses = free_addresses::<6>();
+    let peers = addresses[3..].to_vec();
+    let links = vec![peers.clone(); 3];
+    start_with_links(name, state, cloud, zones, operator, &addresses, &links)
+}
+
+/// Three controllers on these addresses: three for users and workers, then three for peers. `links[i][j]`: where
+/// controller `i` reaches controller `j`.
+fn start_with_links(
+    name: &str,
+    state: SocketAddr,
+    cloud: SocketAddr,
+    zones: &[&str],
+    operator: Option<&str>,
+    addresses: &[SocketAddr; 6],
+    links: &[Vec<SocketAddr>],
+) -> (Vec<Node>, Vec<SocketAddr>) {
     let (public, peers) = (addresses[..3].to_vec(), addresses[3..].to_vec());
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::create_dir_all(&folder).unwrap();
@@ -78,7 +95,7 @@
         .map(|i| {
             let members: Vec<Value> = (0..3)
                 .filter(|j| *j != i)
-                .map(|j| json!({"node_name": format!("n{j}"), "site": "a", "peer_addr": peers[j]}))
+                .map(|j| json!({"node_name": format!("n{j}"), "site": "a", "peer_addr": links[i][j]}))
                 .collect();
             let settings = json!({"node_name": format!("n{i}"), "site": "a", "public_addr": public[i],
                 "peer_bind": peers[i], "members": members,
--- a/tests/loopback/standins/cloud.rs
+++ b/tests/loopback/standins/cloud.rs
@@ -20,6 +20,10 @@
     pub at_once: u64,
     /// Machines whose workers hang.
     pub hanging: BTreeSet<String>,
+    /// Where the workers take direct commands; None: nowhere.
+    pub direct_commands_at: Option<SocketAddr>,
+    /// Direct commands that arrived there.
+    pub direct_commands: Vec<Value>,
     /// What the workers did, in order.
     pub seen: Vec<Seen>,
     made: u64,
@@ -32,6 +36,8 @@
     pub machine: String,
     pub zone: String,
     pub task: String,
+    /// The attempt of the task.
+    pub launch: u64,
     pub begins: bool,
 }
 
@@ -44,6 +50,8 @@
             capacity: 6,
             at_once: 4,
             hanging: BTreeSet::new(),
+            direct_commands_at: None,
+            direct_commands: Vec::new(),
             seen: Vec::new(),
             made: 0,
         }
--- a/tests/loopback/standins/mod.rs
+++ b/tests/loopback/standins/mod.rs
@@ -1,12 +1,14 @@
 //! Stand-ins for the state service, the cloud and workers, written from the protocol, on loopback.
 
 mod cloud;
+mod peer_links;
 mod state_service;
 mod workers;
 
 pub use cloud::{cloud, CloudState, Seen};
+pub use peer_links::{copying_link, CopyCounts};
 pub use state_service::{state_service, State, Trouble};
-pub use workers::workers;
+pub use workers::{direct_commands, workers, workers_at_every_node};
 
 use poem::http::StatusCode;
 use poem::listener::TcpAcceptor;
--- a/tests/loopback/standins/workers.rs
+++ b/tests/loopback/standins/workers.rs
@@ -1,6 +1,9 @@
 //! Workers: one for every rented machine, which sends heartbeats to the nodes and carries out the commands of the answers.
 
 use super::cloud::{Cloud, Seen};
+use super::{listen, reply};
+use poem::web::{Data, Json};
+use poem::{handler, post, EndpointExt, Response, Route, Server};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -10,15 +13,27 @@
 type Tasks = BTreeMap<String, (u64, &'static str, Option<&'static str>, Instant)>;
 
 /// Plays a worker for every machine that the cloud has rented out, until the test ends. How long a task runs goes by
-/// its job's number: below 500 a fifth of a second, below 900 six seconds, from there on until it is stopped.
+/// its job's number: below 500 a fifth of a second, below 900 six seconds, from there on until it is stopped. All
+/// report to the first node until it refuses.
 pub async fn workers(cloud: Cloud, nodes: Vec<SocketAddr>) {
+    play_workers(cloud, nodes, |_| 0).await;
+}
+
+/// The same, but each worker begins at the next node, so that most reports are relayed.
+pub async fn workers_at_every_node(cloud: Cloud, nodes: Vec<SocketAddr>) {
+    play_workers(cloud, nodes, |number| number).await;
+}
+
+/// `first_node`: the node to which a worker reports first, by the number of workers before it.
+async fn play_workers(cloud: Cloud, nodes: Vec<SocketAddr>, first_node: impl Fn(usize) -> usize) {
     let mut known: BTreeSet<String> = Default::default();
     loop {
         let machines: Vec<(String, Value)> =
             cloud.lock().unwrap().machines.iter().map(|(n, m)| (n.clone(), m.clone())).collect();
         for (name, machine) in machines {
             if known.insert(name.clone()) {
-                tokio::spawn(worker(cloud.clone(), nodes.clone(), name, machine));
+                let at = first_node(known.len() - 1);
+                tokio::spawn(worker(cloud.clone(), nodes.clone(), at, name, machine));
             }
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
@@ -26,10 +41,16 @@
 }
 
 /// Notes in the workers' own records that a task began or ended.
-fn note(cloud: &Cloud, machine: &Value, task: &str, begins: bool) {
+fn note(cloud: &Cloud, machine: &Value, task: &str, launch: u64, begins: bool) {
     let text = |field: &str| machine[field].as_str().unwrap().to_string();
-    let seen =
-        Seen { at: Instant::now(), machine: text("uid"), zone: text("quay"), task: task.to_string(), begins };
+    let seen = Seen {
+        at: Instant::now(),
+        machine: text("uid"),
+        zone: text("quay"),
+        task: task.to_string(),
+        launch,
+        begins,
+    };
     let mut cloud = cloud.lock().unwrap();
     // One that is gone does nothing more.
     if cloud.machines.contains_key(&seen.machine) {
@@ -37,9 +58,11 @@
     }
 }
 
-async fn worker(cloud: Cloud, nodes: Vec<SocketAddr>, name: String, machine: Value) {
+async fn worker(cloud: Cloud, nodes: Vec<SocketAddr>, mut at: usize, name: String, machine: Value) {
     let client = reqwest::Client::builder().no_proxy().build().unwrap();
-    let (mut tasks, mut tally, mut helm, mut at) = (Tasks::new(), 0u64, 0u64, 0usize);
+    let (mut tasks, mut tally, mut helm) = (Tasks::new(), 0u64, 0u64);
+    let address =
+        cloud.lock().unwrap().direct_commands_at.map_or("127.0.0.1:9".to_string(), |at| at.to_string());
     while cloud.lock().unwrap().machines.contains_key(&name) {
         if cloud.lock().unwrap().hanging.contains(&name) {
             tokio::time::sleep(Duration::from_millis(50)).await;
@@ -47,7 +70,7 @@
         }
         end_due_tasks(&cloud, &machine, &mut tasks);
         tally += 1;
-        let checkin = json!({"vessel": name, "address": "127.0.0.1:9", "hull": "m4", "quay": machine["quay"],
+        let checkin = json!({"vessel": name, "address": address, "hull": "m4", "quay": machine["quay"],
             "driftwood": machine["driftwood"], "watch": 1, "tally": tally, "helm": helm, "recall_s": null,
             "loads": loads(&tasks)});
         let body = send_checkin(&client, nodes[at % nodes.len()], &checkin).await;
@@ -70,7 +93,7 @@
 fn end_due_tasks(cloud: &Cloud, machine: &Value, tasks: &mut Tasks) {
     for (load, task) in tasks.iter_mut().filter(|(_, t)| t.1 == "running" && t.3 <= Instant::now()) {
         (task.1, task.2) = ("exited", Some("done"));
-        note(cloud, machine, load, false);
+        note(cloud, machine, load, task.0, false);
     }
 }
 
@@ -103,16 +126,30 @@
     match signal["signal"].as_str().unwrap() {
         "run" => {
             tasks.entry(load.clone()).or_insert_with(|| {
-                note(cloud, machine, &load, true);
+                note(cloud, machine, &load, launch, true);
                 (launch, "running", None, Instant::now() + Duration::from_millis(runs_ms))
             });
         }
         "stop" => {
             if let Some(task) = tasks.get_mut(&load).filter(|t| t.0 == launch && t.1 != "exited") {
                 (task.1, task.2) = ("exited", Some("halted"));
-                note(cloud, machine, &load, false);
+                note(cloud, machine, &load, launch, false);
             }
         }
         _ => tasks.retain(|l, t| *l != load || t.0 != launch || t.1 != "exited"),
     }
 }
+
+/// Keeps the direct commands that arrive at any worker, and refuses them: as a worker does whose session has ended.
+pub async fn direct_commands(cloud: Cloud) -> SocketAddr {
+    let (acceptor, address) = listen().await;
+    let app = Route::new().at("/orders", post(keep_direct_commands)).data(cloud);
+    tokio::spawn(Server::new_with_acceptor(acceptor).run(app));
+    address
+}
+
+#[handler]
+fn keep_direct_commands(cloud: Data<&Cloud>, body: Json<Value>) -> Response {
+    cloud.lock().unwrap().direct_commands.push(body.0);
+    reply(409, json!({}))
+}
--- a/tests/scheduler_rules/effects.rs
+++ b/tests/scheduler_rules/effects.rs
@@ -3,11 +3,11 @@
 use super::messages::{Awaited, ANSWER_PATIENCE};
 use super::settings::{LEASE_S, STEP};
 use super::worker::Worker;
-use super::world::World;
+use super::world::{random_duration, World};
 use dockpier::fencing_token::FencingToken;
 use dockpier::limits::SECOND;
 use dockpier::scheduler::cold_start::JobReading;
-use dockpier::scheduler::{Command, Effect, RequestOutcome, StoredJob};
+use dockpier::scheduler::{Command, Effect, RequestOutcome, StoredJob, TaskCommand};
 use dockpier::time::{from_seconds, Timestamp};
 use rand::Rng;
 use std::collections::{BTreeMap, BTreeSet};
@@ -58,6 +58,9 @@
                 self.task_commands(&name, &task_commands);
             }
             Effect::DirectCommands { machine, agent_epoch, task_commands, .. } => {
+                // A start could be carried out minutes late, and once more after the task was forgotten.
+                let is_start = |command: &TaskCommand| matches!(command, TaskCommand::Start { .. });
+                assert!(!task_commands.iter().any(is_start), "a start was sent directly to {machine}");
                 let Some(worker) = self.workers.get(&machine) else { return };
                 if worker.dead || self.now < worker.deaf_until {
                     return;
@@ -68,6 +71,11 @@
                     if held { self.rng.random_range(2..16u64) as u32 * SECOND } else { Duration::ZERO };
                 let reached_at = worker.cut_until.max(worker.up_at).max(self.out_of_reach_until(worker));
                 let at = reached_at.max(self.now + delay);
+                if self.deployment.late_copies {
+                    let late = random_duration(&mut self.rng, SECOND..30 * SECOND);
+                    let copy = (at + late, machine.clone(), self.token, agent_epoch, task_commands.clone());
+                    self.held_orders.push(copy);
+                }
                 self.held_orders.push((at, machine, self.token, agent_epoch, task_commands));
                 self.deliver_held_orders();
             }
--- a/tests/scheduler_rules/main.rs
+++ b/tests/scheduler_rules/main.rs
@@ -104,6 +104,13 @@
     play_all(800..860, Deployment::with_partitions());
 }
 
+/// Guards against a late copy of a command that was carried out before: a task ran on two machines, or once more after
+/// its cancellation.
+#[test]
+fn the_rules_hold_when_direct_commands_arrive_once_more() {
+    play_all(1_000..1_040, Deployment::with_late_copies());
+}
+
 /// The long run, started by hand: `cargo test --release --locked --test scheduler_rules -- --ignored`.
 #[test]
 #[ignore = "takes minutes"]
--- a/tests/scheduler_rules/settings.rs
+++ b/tests/scheduler_rules/settings.rs
@@ -35,6 +35,8 @@
     pub(super) slow_reports: bool,
     /// Zone `b` is cut off twice within seconds while the leader changes, again and again.
     pub(super) partitions: bool,
+    /// Each direct command is carried out once more, up to half a minute later.
+    pub(super) late_copies: bool,
     /// Interval between heartbeats, in seconds.
     pub(super) report_s: f64,
 }
@@ -54,6 +56,7 @@
             cold_start: false,
             slow_reports: false,
             partitions: false,
+            late_copies: false,
             report_s: 1.0,
         }
     }
@@ -101,6 +104,11 @@
         Deployment { partitions: true, ..Deployment::of_one_team(0.0) }
     }
 
+    /// Copies of direct commands arrive late, between changes of leader, moves and cancellations.
+    pub(super) fn with_late_copies() -> Self {
+        Deployment { late_copies: true, mixed_priorities: true, ..Deployment::with_slow_reports() }
+    }
+
     /// Machines are up within two seconds, and writes lag for up to four.
     pub(super) fn of_quick_machines() -> Self {
         Deployment { boot_s: 0..2, write_steps: 1..40, ..Deployment::of_one_team(0.0) }
