Take a machine as faulty only once the failed task itself succeeds elsewhere

What callers would see: one task with a bad input makes the service replace the whole fleet.

Cause: once any task of a job had succeeded, a single failure of any other counted as proof against its machine; and a job with a success could not be suspected, so that nothing slowed the retries.

Now the proof is that the failed task itself succeeds elsewhere; two failures of different jobs count as before. A task that has failed on three machines counts against none, whatever its siblings do. A job is suspected once it has failed on three machines since its last success, so that a rest of bad tasks is retried at most once a minute. A job goes on avoiding a machine, for a limited time and as a last choice, after siblings of the failed task succeed.

Test: clusters `tasks_that_always_fail_condemn_no_machine_while_others_of_their_job_succeed`, which fails before the fix; `faulty_machines_are_distinguished_from_failing_jobs` holds as it was.

--- a/src/limits/scheduling.rs
+++ b/src/limits/scheduling.rs
@@ -52,18 +52,21 @@
 /// it for this long. A job that always fails is retried at least every `MAX_JOB_BACKOFF`, so that its record
 /// remains.
 pub const FAILURE_MEMORY: Duration = Duration::from_secs(600);
-/// The most machines in the failure record of a job, which bounds its memory and the machines that a job that
-/// always fails tries.
-pub const MAX_MACHINES_IN_FAILURE_RECORD: usize = 64;
+/// The most machines in the failure record of a job. Bounds its memory, and the machines that a job that always
+/// fails tries.
+pub const MAX_MACHINES_IN_FAILURE_RECORD: usize = 256;
+/// The most tasks in the failure record of a job. Bounds its memory.
+pub const MAX_TASKS_IN_FAILURE_RECORD: usize = 1_000;
 /// A faulty machine that cannot be replaced yet, since it still holds tasks, gets no new ones for this long after
 /// a failure. Bounded for the same reason as `MAX_JOB_BACKOFF`.
 pub const FAULTY_MACHINE_BACKOFF: Duration = Duration::from_secs(60);
 /// A machine is replaced once tasks of this many jobs have failed on it within `FAILURE_MEMORY`, not counting
 /// suspected jobs.
 pub const MAX_MACHINE_FAILURES: usize = 2;
-/// A job of which no task has succeeded is suspected of being faulty once it has failed on this many
-/// machines. Where one machine in thirty is faulty, two faulty ones in a row may be chance, three hardly.
-pub const SUSPECT_JOB_MACHINES: usize = 3;
+/// A job is suspected of being faulty once it has failed on this many machines since a task of it last succeeded,
+/// and so is a task that has failed on this many. Where one machine in thirty is faulty, two faulty ones in a row
+/// may be chance, three hardly.
+pub const SUSPECT_MACHINES: usize = 3;
 /// First backoff of a job that is suspected, or one of whose tasks a worker reported as unknown. Doubles with
 /// each failure up to `MAX_JOB_BACKOFF`.
 pub const JOB_BACKOFF: Duration = Duration::from_secs(2);
--- a/src/scheduler/fault_attribution.rs
+++ b/src/scheduler/fault_attribution.rs
@@ -1,22 +1,22 @@
 //! Decides whether a failed task is the fault of its machine or of its job. Called by `task_exit`.
 //!
-//! Usually the machine is at fault. This is proven if a task of the same job has succeeded, or if several
-//! jobs that are not suspected themselves failed on the machine. A job of which no task has succeeded and
-//! that fails on several machines is most likely faulty: its backoff grows with each failure, and it does not
-//! count against machines.
+//! Usually the machine is at fault. This is proven if the task then succeeds on another machine, or if several
+//! jobs that are not suspected themselves failed on the machine. A job that fails on several machines without
+//! a success in between is most likely faulty: its backoff grows with each failure, and it does not count
+//! against machines. Neither does a task that has failed on several machines itself, whatever the other tasks
+//! of its job do: its input may be at fault.
 
-use super::model::{Job, JobId, TaskFailure};
+use super::model::{Job, JobId, Kind, TaskAttempt, TaskFailure};
 use super::Scheduler;
 use crate::limits;
 use crate::time::Timestamp;
 use tracing::{info, warn};
 
 impl Job {
-    /// Whether the job itself is most likely faulty: no task of it has succeeded, and it has failed on
-    /// several machines.
+    /// Whether the job itself is most likely faulty: it has failed on several machines since a task of it last
+    /// succeeded.
     pub(super) fn is_suspected(&self) -> bool {
-        self.progress.succeeded.is_empty()
-            && self.failure_history.machines.len() >= limits::SUSPECT_JOB_MACHINES
+        self.failure_history.are_on_several_machines()
     }
 
     /// Whether the job gets no machine with this name now because its tasks failed there lately. Never for a
@@ -27,18 +27,11 @@
 }
 
 impl Scheduler {
-    /// Records that this attempt of a task of the job failed on the machine with this name.
-    pub(super) fn attribute_task_failure(
-        &mut self,
-        name: &str,
-        job_id: JobId,
-        attempt: u64,
-        failure: TaskFailure,
-    ) {
-        let now = self.now;
+    /// Records that a task failed on the machine with this name.
+    pub(super) fn attribute_task_failure(&mut self, name: &str, failed: TaskAttempt, failure: TaskFailure) {
+        let (now, job_id) = (self.now, failed.task.job_id);
         let Some(job) = self.jobs.get_mut(&job_id) else { return };
-        let failures = job.failure_history.record(name, attempt, failure, now);
-        let machine_proven_faulty = !job.progress.succeeded.is_empty();
+        let failures = job.failure_history.record(name, failed, failure, now);
         let suspected = job.is_suspected();
         if !suspected {
             let closed_for_s = failures.closed_until.since(now).as_secs();
@@ -56,11 +49,11 @@
             job.failure_history.consecutive_backoffs += 1;
             job.failure_history.backoff_until = now + backoff.min(limits::MAX_JOB_BACKOFF);
         }
-        if failure == TaskFailure::NotKnownToWorker {
-            return;
-        }
-        // A failure of a suspected job says nothing about the machine, and must not delay other jobs.
-        if suspected {
+        let says_nothing_of_machine = suspected
+            || failure == TaskFailure::NotKnownToWorker
+            || job.failure_history.task_failed_on_several_machines(failed.task.task);
+        // Such a failure must not delay other jobs either.
+        if says_nothing_of_machine {
             return;
         }
         if let Some(machine) = self.machines.get_mut(name) {
@@ -71,30 +64,39 @@
                 machine.health.back_off_until(now + limits::PLACEMENT_BACKOFF);
             }
         }
-        self.replace_if_faulty(name, machine_proven_faulty, now);
+        self.replace_if_faulty(name, false, now);
     }
 
-    /// Applies the success of this attempt of a task of the job on the machine with this name: machines on
-    /// which other tasks of the job failed are at fault. This machine is not if the task was started after
-    /// the failures here.
-    pub(super) fn attribute_failures_to_machines(&mut self, name: &str, job_id: JobId, attempt: u64) {
-        let Some(job) = self.jobs.get_mut(&job_id) else { return };
+    /// Applies the success of a task on the machine with this name: machines on which the same task failed
+    /// before are at fault. This machine is not if the task was started after the failures here.
+    pub(super) fn attribute_failures_to_machines(&mut self, name: &str, succeeded: TaskAttempt) {
+        let TaskAttempt { task, attempt } = succeeded;
+        let Some(job) = self.jobs.get(&task.job_id) else { return };
         if job.failure_history.machines.is_empty() {
             return;
         }
-        job.failure_history.backoff_until = Timestamp::ZERO;
-        job.failure_history.consecutive_backoffs = 0;
-        for (failed_on, failures) in std::mem::take(&mut job.failure_history.machines) {
-            let succeeded_later = failed_on == name && attempt > failures.last_attempt;
-            if !succeeded_later && failures.any_while_running {
-                self.replace_if_faulty(&failed_on, true, failures.last_at);
-            } else if let Some(machine) = self.machines.get_mut(&failed_on) {
-                machine.health.failed_jobs.remove(&job_id);
+        let mut machines = vec![name.to_string()];
+        let mut tasks = task.task..task.task + 1;
+        if job.spec.kind == Kind::Gang {
+            // All tasks of a gang succeed together.
+            tasks = 0..job.spec.tasks;
+            let placements = self.placements_of(job).filter(|(_, _, placement)| placement.attempt == attempt);
+            machines.extend(placements.map(|(_, machine, _)| machine.to_string()));
+        }
+        for name in &machines {
+            let failures = job.failure_history.machines.get(name);
+            let has_recovered = failures.is_some_and(|failures| attempt > failures.last_attempt);
+            if let Some(machine) = self.machines.get_mut(name).filter(|_| has_recovered) {
+                machine.health.failed_jobs.remove(&task.job_id);
             }
         }
+        let Some(job) = self.jobs.get_mut(&task.job_id) else { return };
+        for fault in job.failure_history.record_success(tasks, attempt, &machines) {
+            self.replace_if_faulty(&fault.machine, true, fault.at);
+        }
     }
 
-    /// Marks a machine for replacement if it is proven faulty (a task of the failed job succeeded) or if
+    /// Marks a machine for replacement if it is proven faulty (the failed task succeeded elsewhere) or if
     /// several jobs failed on it, and closes it for a while after the last failure there.
     fn replace_if_faulty(&mut self, name: &str, proven_faulty: bool, last_failure_at: Timestamp) {
         let (jobs, now) = (&self.jobs, self.now);
--- a/src/scheduler/model/mod.rs
+++ b/src/scheduler/model/mod.rs
@@ -22,7 +22,7 @@
 pub use heartbeat::{Heartbeat, HeartbeatNumber, HeartbeatSource, HeartbeatTracker, ReportedTask};
 pub use id::{JobId, TaskAttempt, TaskId};
 pub use job::{GangState, Job, JobSpec, Kind, Priority, Progress, RunTimes, WidthState};
-pub use job_failures::{JobFailures, MachineFailures, TaskFailure};
+pub use job_failures::{FailedAttempt, JobFailures, MachineFailures, TaskFailure};
 pub use job_summary::{JobSummary, TaskCounts};
 pub use machine::{ImageCache, Lifecycle, Machine, MachineHealth, MachineState, MachineType, StoredMachine};
 pub use pending_reason::PendingReason;
--- a/src/scheduler/task_exit.rs
+++ b/src/scheduler/task_exit.rs
@@ -46,15 +46,15 @@
         match reason {
             ExitReason::Done => {
                 self.record_succeeded(exited.task);
-                self.attribute_failures_to_machines(name, job_id, exited.attempt);
+                self.attribute_failures_to_machines(name, exited);
             }
             // A task that was asked to stop may exit with these reasons without a fault of its job or machine.
             ExitReason::Error | ExitReason::Unknown if stop_requested => {}
             ExitReason::Error => {
-                self.attribute_task_failure(name, job_id, exited.attempt, TaskFailure::WhileRunning);
+                self.attribute_task_failure(name, exited, TaskFailure::WhileRunning);
             }
             ExitReason::Unknown => {
-                self.attribute_task_failure(name, job_id, exited.attempt, TaskFailure::NotKnownToWorker);
+                self.attribute_task_failure(name, exited, TaskFailure::NotKnownToWorker);
             }
             // The task was asked to stop, or other members of its gang were gone or did not start: the
             // attempt has ended for the whole gang.
--- a/tests/clusters/cluster.rs
+++ b/tests/clusters/cluster.rs
@@ -40,6 +40,8 @@
     /// Machines on which every task fails, and jobs of which every task fails.
     pub faulty_machines: BTreeSet<usize>,
     pub faulty_jobs: BTreeSet<u64>,
+    /// Tasks that fail wherever they run, by job and index.
+    pub faulty_tasks: BTreeSet<(u64, u32)>,
     /// Machines that do not know any job whose start they get.
     pub uninformed_machines: BTreeSet<usize>,
     /// Jobs whose tasks run for ever, also on faulty machines.
@@ -95,6 +97,7 @@
             unreachable: BTreeSet::new(),
             faulty_machines: BTreeSet::new(),
             faulty_jobs: BTreeSet::new(),
+            faulty_tasks: BTreeSet::new(),
             uninformed_machines: BTreeSet::new(),
             endless_jobs: BTreeSet::new(),
             runs: None,
@@ -168,7 +171,11 @@
         if self.uninformed_machines.contains(&machine) {
             return TaskStatus::Exited(ExitReason::Unknown);
         }
-        if self.faulty_machines.contains(&machine) || self.faulty_jobs.contains(&id.job_id.0) {
+        let is_faulty_task = self.faulty_tasks.contains(&(id.job_id.0, id.task));
+        if is_faulty_task
+            || self.faulty_machines.contains(&machine)
+            || self.faulty_jobs.contains(&id.job_id.0)
+        {
             return TaskStatus::Exited(ExitReason::Error);
         }
         match self.runs {
--- a/tests/clusters/faults.rs
+++ b/tests/clusters/faults.rs
@@ -277,3 +277,24 @@
     assert!(cluster.starts[&1] > 8, "no start was refused");
     assert!(cluster.deleted.is_empty(), "the machine was replaced");
 }
+
+/// A task that always failed condemned one machine after the other, since other tasks of its job had succeeded: all
+/// twelve within half a minute.
+#[test]
+fn tasks_that_always_fail_condemn_no_machine_while_others_of_their_job_succeed() {
+    let mut cluster = Cluster::new(MACHINES, config().teams);
+    cluster.runs = Some(5);
+    cluster.faulty_tasks = BTreeSet::from([(1, 3), (1, 30)]);
+    cluster.submit(array(1, 60));
+    cluster.submit(array(2, 60));
+    cluster.heartbeats(MAX_WAIT_BESIDE_ROOM);
+    assert_eq!(cluster.scheduler.jobs[&JobId(1)].progress.succeeded.len(), 58);
+    assert!(!cluster.is_known(2), "the other job is not done");
+    assert!(cluster.deleted.is_empty(), "replaced: {:?}", cluster.deleted);
+    // Nothing else is left of the jobs: their retries are rare.
+    let starts: usize = cluster.starts.values().sum();
+    cluster.heartbeats(120);
+    let retries = cluster.starts.values().sum::<usize>() - starts;
+    assert!((4..=12).contains(&retries), "{retries} retries of two tasks in two minutes");
+    assert!(cluster.deleted.is_empty(), "replaced: {:?}", cluster.deleted);
+}
