--- a/src/controller/heartbeat_routing.rs
+++ b/src/controller/heartbeat_routing.rs
@@ -5,6 +5,7 @@
 //! handles the frames between leader and leaseholders, one function for each payload.
 
 use super::ignored_frames::IgnoredFrame;
+use super::relayed_heartbeats::{RelayedHeartbeat, RelayedHeartbeats};
 use super::Controller;
 use crate::fencing_token::FencingToken;
 use crate::leadership::FollowedLeader;
@@ -26,8 +27,8 @@
 pub(super) struct HeartbeatRouting {
     /// Heartbeats that the scheduler has not answered yet, by the number of the reply.
     pub(super) pending_replies: BTreeMap<u64, ReplyTo>,
-    /// Heartbeats that were relayed to the leader, by the number of the request.
-    relayed: BTreeMap<u64, RelayedHeartbeat>,
+    /// Heartbeats that were relayed to the leader.
+    relayed: RelayedHeartbeats,
     /// Numbers of replies and of relayed requests.
     request_ids: RequestIds,
     /// The workers whose leases this node renews while another node leads.
@@ -45,18 +46,11 @@
     Leaseholder(usize, u64),
 }
 
-/// A heartbeat on its way to the leader.
-struct RelayedHeartbeat {
-    reply: oneshot::Sender<HeartbeatReply>,
-    heartbeat: Heartbeat,
-    sent_at: Timestamp,
-}
-
 impl HeartbeatRouting {
     pub(super) fn new(max_shard_machines: usize, incarnation: u64) -> Self {
         HeartbeatRouting {
             pending_replies: BTreeMap::new(),
-            relayed: BTreeMap::new(),
+            relayed: RelayedHeartbeats::default(),
             request_ids: RequestIds::of(incarnation),
             shard: Shard::new(max_shard_machines, incarnation),
             renewal_counts: RenewalCounts::default(),
@@ -349,7 +343,8 @@
         leaseholder_may_respond: bool,
         task_commands: Vec<TaskCommand>,
     ) {
-        let Some(RelayedHeartbeat { reply: to, heartbeat, .. }) = self.routing.relayed.remove(&id) else {
+        let Some(RelayedHeartbeat { reply: to, heartbeat, .. }) = self.routing.relayed.take_answered(id)
+        else {
             return self.peers.count_ignored(from, IgnoredFrame::Unsolicited);
         };
         let reply = match token {
@@ -375,11 +370,8 @@
     /// As a leaseholder: sends the shard heartbeat that is due, and answers relayed heartbeats that timed out.
     pub(super) fn maintain_shard(&mut self, now: Timestamp) {
         self.send_shard_heartbeat(now);
-        while let Some(entry) = self.routing.relayed.first_entry() {
-            if now < entry.get().sent_at + limits::RELAY_TIMEOUT {
-                return;
-            }
-            let RelayedHeartbeat { reply: to, heartbeat, .. } = entry.remove();
+        while let Some(timed_out) = self.routing.relayed.take_timed_out(now) {
+            let RelayedHeartbeat { reply: to, heartbeat, .. } = timed_out;
             let reply = self.respond_as_leaseholder(now, &heartbeat, false);
             let reply = reply.unwrap_or_else(|| self.routing.redirect(None));
             reply_to_worker(to, reply);
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -17,6 +17,7 @@
 mod leadership_actions;
 mod peer_links;
 mod record_writer;
+mod relayed_heartbeats;
 mod startup;
 
 use crate::time::{AtomicTimestamp, Timestamp};
--- a/tests/loopback/standins/mod.rs
+++ b/tests/loopback/standins/mod.rs
@@ -6,9 +6,9 @@
 mod workers;
 
 pub use cloud::{cloud, CloudState, Seen};
-pub use peer_links::{copying_link, CopyCounts};
+pub use peer_links::copying_link;
 pub use state_service::{state_service, State, Trouble};
-pub use workers::{direct_commands, workers, workers_at_every_node};
+pub use workers::{direct_commands, roaming_workers, workers};
 
 use poem::http::StatusCode;
 use poem::listener::TcpAcceptor;
--- a/tests/loopback/standins/peer_links.rs
+++ b/tests/loopback/standins/peer_links.rs
@@ -15,29 +15,21 @@
 /// a relayed heartbeat waits for its answer, some beyond it and beyond the restart of a process.
 const COPY_DELAYS_MS: [u64; 7] = [20, 150, 500, 1_000, 1_700, 3_000, 6_000];
 
-/// Counts of what was delivered once more.
-#[derive(Default)]
-pub struct CopyCounts {
-    /// Frames of any kind.
-    pub frames: AtomicUsize,
-    /// Answers to relayed heartbeats that carry a start command.
-    pub starts: AtomicUsize,
-}
-
-/// Listens on an address of its own, and passes on to `peer` what arrives there, each frame twice.
-pub async fn copying_link(peer: SocketAddr, counts: Arc<CopyCounts>) -> SocketAddr {
+/// Listens on an address of its own, and passes on to `peer` what arrives there, each frame twice. Counts in
+/// `copied_starts` the copies of answers to relayed heartbeats that carry a start command.
+pub async fn copying_link(peer: SocketAddr, copied_starts: Arc<AtomicUsize>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(forward(stream, peer, counts.clone()));
+            tokio::spawn(forward(stream, peer, copied_starts.clone()));
         }
     });
     address
 }
 
 /// Passes on the frames of one connection, until either side ends it.
-async fn forward(mut from: TcpStream, peer: SocketAddr, counts: Arc<CopyCounts>) {
+async fn forward(mut from: TcpStream, peer: SocketAddr, copied_starts: Arc<AtomicUsize>) {
     let Ok(mut live) = TcpStream::connect(peer).await else { return };
     let copies = copy_sender(peer).await;
     for number in 0.. {
@@ -46,11 +38,10 @@
             return;
         }
         let delay = Duration::from_millis(COPY_DELAYS_MS[number % COPY_DELAYS_MS.len()]);
-        let (copies, counts) = (copies.clone(), counts.clone());
+        let (copies, copied_starts) = (copies.clone(), copied_starts.clone());
         tokio::spawn(async move {
             tokio::time::sleep(delay).await;
-            counts.frames.fetch_add(1, Ordering::Relaxed);
-            counts.starts.fetch_add(usize::from(carries_start(&frame)), Ordering::Relaxed);
+            copied_starts.fetch_add(usize::from(carries_start(&frame)), Ordering::Relaxed);
             let _ = copies.send(frame);
         });
     }
--- a/tests/loopback/standins/workers.rs
+++ b/tests/loopback/standins/workers.rs
@@ -16,24 +16,23 @@
 /// its job's number: below 500 a fifth of a second, below 900 six seconds, from there on until it is stopped. All
 /// report to the first node until it refuses.
 pub async fn workers(cloud: Cloud, nodes: Vec<SocketAddr>) {
-    play_workers(cloud, nodes, |_| 0).await;
+    play_workers(cloud, nodes, None).await;
 }
 
-/// The same, but each worker begins at the next node, so that most reports are relayed.
-pub async fn workers_at_every_node(cloud: Cloud, nodes: Vec<SocketAddr>) {
-    play_workers(cloud, nodes, |number| number).await;
+/// The same, but each worker goes on to the next node every two seconds, so that most reports are relayed.
+pub async fn roaming_workers(cloud: Cloud, nodes: Vec<SocketAddr>) {
+    play_workers(cloud, nodes, Some(20)).await;
 }
 
-/// `first_node`: the node to which a worker reports first, by the number of workers before it.
-async fn play_workers(cloud: Cloud, nodes: Vec<SocketAddr>, first_node: impl Fn(usize) -> usize) {
+/// `reports_per_node`: after how many reports a worker goes on to the next node; None: when it is refused.
+async fn play_workers(cloud: Cloud, nodes: Vec<SocketAddr>, reports_per_node: Option<u64>) {
     let mut known: BTreeSet<String> = Default::default();
     loop {
         let machines: Vec<(String, Value)> =
             cloud.lock().unwrap().machines.iter().map(|(n, m)| (n.clone(), m.clone())).collect();
         for (name, machine) in machines {
             if known.insert(name.clone()) {
-                let at = first_node(known.len() - 1);
-                tokio::spawn(worker(cloud.clone(), nodes.clone(), at, name, machine));
+                tokio::spawn(worker(cloud.clone(), nodes.clone(), reports_per_node, name, machine));
             }
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
@@ -58,9 +57,15 @@
     }
 }
 
-async fn worker(cloud: Cloud, nodes: Vec<SocketAddr>, mut at: usize, name: String, machine: Value) {
+async fn worker(
+    cloud: Cloud,
+    nodes: Vec<SocketAddr>,
+    reports_per_node: Option<u64>,
+    name: String,
+    machine: Value,
+) {
     let client = reqwest::Client::builder().no_proxy().build().unwrap();
-    let (mut tasks, mut tally, mut helm) = (Tasks::new(), 0u64, 0u64);
+    let (mut tasks, mut tally, mut helm, mut at) = (Tasks::new(), 0u64, 0u64, 0usize);
     let address =
         cloud.lock().unwrap().direct_commands_at.map_or("127.0.0.1:9".to_string(), |at| at.to_string());
     while cloud.lock().unwrap().machines.contains_key(&name) {
@@ -70,6 +75,7 @@
         }
         end_due_tasks(&cloud, &machine, &mut tasks);
         tally += 1;
+        at += usize::from(reports_per_node.is_some_and(|reports| tally % reports == 0));
         let checkin = json!({"vessel": name, "address": address, "hull": "m4", "quay": machine["quay"],
             "driftwood": machine["driftwood"], "watch": 1, "tally": tally, "helm": helm, "recall_s": null,
             "loads": loads(&tasks)});
