Split the attribution of failures, and judge earlier machines by their own last failure

A faulty machine was closed for another minute by a failure elsewhere of a task that had failed there too.

--- a/src/scheduler/fault_attribution.rs
+++ b/src/scheduler/fault_attribution.rs
@@ -1,10 +1,11 @@
 //! Decides whether a failed task is the fault of its machine or of its job. Called by `task_exit`.
 //!
 //! Usually the machine is at fault. This is proven if the task then succeeds on another machine. It is assumed
-//! if tasks of several jobs failed on the machine that have failed nowhere else, until they do. A job that fails on several machines without
-//! a success in between is most likely faulty: its backoff grows with each failure, and it does not count
-//! against machines. Neither does a task that has failed on several machines itself, whatever the other tasks
-//! of its job do: its input may be at fault.
+//! if tasks of several jobs failed on the machine that have failed nowhere else, until they do.
+//!
+//! A job that fails on several machines without a success in between is most likely faulty: its backoff grows
+//! with each failure, and it does not count against machines. Neither does a task that has failed on several
+//! machines itself, whatever the other tasks of its job do: its input may be at fault.
 
 use super::model::{Job, JobId, Kind, TaskAttempt, TaskFailure, TaskId};
 use super::Scheduler;
@@ -20,6 +21,15 @@
         self.failure_history.are_on_several_machines()
     }
 
+    /// Lets no task of the job start for a while, longer each time: a job that fails everywhere must not be
+    /// restarted in a tight loop.
+    fn back_off(&mut self, now: Timestamp) {
+        let failures = &mut self.failure_history;
+        let backoff = limits::JOB_BACKOFF * (1 << failures.consecutive_backoffs.min(10));
+        failures.consecutive_backoffs += 1;
+        failures.backoff_until = now + backoff.min(limits::MAX_JOB_BACKOFF);
+    }
+
     /// Whether the job gets no machine with this name now because its tasks failed there lately. Never for a
     /// suspected job, which backs off as a whole: its failures say nothing about machines.
     pub(super) fn avoids(&self, machine: &str, now: Timestamp) -> bool {
@@ -45,33 +55,35 @@
             );
         }
         if suspected || failure == TaskFailure::NotKnownToWorker {
-            // A job that fails everywhere must not be restarted in a tight loop.
-            let backoff = limits::JOB_BACKOFF * (1 << job.failure_history.consecutive_backoffs.min(10));
-            job.failure_history.consecutive_backoffs += 1;
-            job.failure_history.backoff_until = now + backoff.min(limits::MAX_JOB_BACKOFF);
+            job.back_off(now);
         }
         let index = failed.task.task;
-        let says_nothing_of_machine = suspected
-            || failure == TaskFailure::NotKnownToWorker
-            || job.failure_history.task_failed_on_several_machines(index);
-        let attempts = job.failure_history.attempts_of(index).iter();
-        let failed_on: Vec<String> = attempts.map(|attempt| attempt.machine.clone()).collect();
-        // Such a failure must not delay other jobs either.
-        if let Some(machine) = self.machines.get_mut(name).filter(|_| !says_nothing_of_machine) {
-            machine.health.failed_tasks.insert(failed.task, now);
-            // For a while nothing is placed here, so that other machines are tried first. A further failure of
-            // the same job says nothing new about the machine and must not delay other jobs.
-            if failures.count == 1 {
-                machine.health.back_off_until(now + limits::PLACEMENT_BACKOFF);
-            }
-            self.judge_machine(name, now);
+        let may_be_fault_of_machine = failure == TaskFailure::WhileRunning
+            && !suspected
+            && !job.failure_history.task_failed_on_several_machines(index);
+        let attempts = job.failure_history.attempts_of(index).to_vec();
+        if may_be_fault_of_machine {
+            self.count_against_machine(name, failed.task, failures.count);
         }
-        // The task counts less against the machines on which it failed before.
-        for earlier in failed_on.iter().filter(|earlier| *earlier != name) {
-            self.judge_machine(earlier, now);
+        // The task counts no longer against the machines on which it failed before.
+        for earlier in attempts.iter().filter(|earlier| earlier.machine != name) {
+            self.judge_machine(&earlier.machine, earlier.at);
         }
     }
 
+    /// Counts the failure of a task against its machine. `failures`: how often its job has failed there.
+    fn count_against_machine(&mut self, name: &str, task: TaskId, failures: u32) {
+        let now = self.now;
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        machine.health.failed_tasks.insert(task, now);
+        // For a while nothing is placed here, so that other machines are tried first. A further failure of the
+        // same job says nothing new about the machine and must not delay other jobs.
+        if failures == 1 {
+            machine.health.back_off_until(now + limits::PLACEMENT_BACKOFF);
+        }
+        self.judge_machine(name, now);
+    }
+
     /// Applies the success of a task on the machine with this name: machines on which the same task failed
     /// before are at fault. This machine is not if the task was started after the failures here.
     pub(super) fn attribute_failures_to_machines(&mut self, name: &str, succeeded: TaskAttempt) {
@@ -88,15 +100,14 @@
             let placements = self.placements_of(job).filter(|(_, _, placement)| placement.attempt == attempt);
             machines.extend(placements.map(|(_, machine, _)| machine.to_string()));
         }
-        for name in &machines {
-            let failures = job.failure_history.machines.get(name);
-            let has_recovered = failures.is_some_and(|failures| attempt > failures.last_attempt);
-            if let Some(machine) = self.machines.get_mut(name).filter(|_| has_recovered) {
+        let Some(job) = self.jobs.get_mut(&task.job_id) else { return };
+        let faults = job.failure_history.record_success(tasks, attempt, &machines);
+        for recovered in machines.iter().filter(|machine| !job.failure_history.has_failed_on(machine)) {
+            if let Some(machine) = self.machines.get_mut(recovered) {
                 machine.health.failed_tasks.retain(|failed, _| failed.job_id != task.job_id);
             }
         }
-        let Some(job) = self.jobs.get_mut(&task.job_id) else { return };
-        for fault in job.failure_history.record_success(tasks, attempt, &machines) {
+        for fault in faults {
             if let Some(machine) = self.machines.get_mut(&fault.machine) {
                 machine.health.proven_faulty = true;
             }
--- a/src/scheduler/model/machine.rs
+++ b/src/scheduler/model/machine.rs
@@ -75,7 +75,7 @@
     /// Whether a task that failed here succeeded elsewhere.
     pub proven_faulty: bool,
     /// Until this time no task is placed here, because a task failed here or the worker refused to start one.
-    /// Set by [`MachineHealth::back_off_until`].
+    /// Set by `back_off_until`.
     pub placement_backoff_until: Timestamp,
     /// Consecutive tasks here that took more than `SLOW_FACTOR` times the mean run time of the tasks of their
     /// job that had succeeded before.
