Ask whether a job is suspected only for machines that are closed to it

The answer goes through the job's record of failures, up to 256 machines, and was asked for every machine of the fleet. No decision changes.

--- a/src/scheduler/fault_attribution.rs
+++ b/src/scheduler/fault_attribution.rs
@@ -33,7 +33,7 @@
     /// Whether the job gets no machine with this name now because its tasks failed there lately. Never for a
     /// suspected job, which backs off as a whole: its failures say nothing about machines.
     pub(super) fn avoids(&self, machine: &str, now: Timestamp) -> bool {
-        !self.is_suspected() && self.failure_history.is_closed(machine, now)
+        self.failure_history.is_closed(machine, now) && !self.is_suspected()
     }
 }
 
