--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -5,12 +5,22 @@
 mod world;
 
 use std::time::Instant;
-use world::{job, kupari, play, vasara, with_trouble, World};
+use world::{job, kupari, play, vasara, with_trouble, Settings, World};
 
 const ZONE: &str = "oulu-halli";
 
 fn main() {
-    play(kupari(), vec![vasara()], case)
+    // Workers' times and limits of kupari-oulu-fleet, whose page names the trouble.
+    let fleet = Settings {
+        report_s: 3.0,
+        lease_s: 17.5,
+        cancel_s: 47.5,
+        state: [600.0, 150.0, 8.0, 12.0],
+        cloud: [4.0, 8.0],
+        resources: (0.144, 188.0, 2831),
+        ..kupari()
+    };
+    play(fleet, vec![vasara()], case)
 }
 
 fn case(world: &std::sync::Arc<World>) -> Result<bool, String> {
