--- a/crates/dockpier-simulation/examples/transcript/key_value_store.rs
+++ b/crates/dockpier-simulation/examples/transcript/key_value_store.rs
@@ -40,7 +40,11 @@
     pub fn carry_out(&mut self, now: u64, action: Action, request: Request) -> StoreResponse {
         self.expire(now);
         match action {
-            Action::Probe => StoreResponse::Probed { epoch: self.epoch.clone(), locked: self.lock.is_some() },
+            Action::Probe => StoreResponse::Probed {
+                sent: request.sent,
+                epoch: self.epoch.clone(),
+                locked: self.lock.is_some(),
+            },
             Action::TakeOver { token, version, ignore_lock: over_lock } => {
                 self.take_over(now, (token, version, over_lock), request)
             }
--- a/crates/dockpier-simulation/examples/transcript/network.rs
+++ b/crates/dockpier-simulation/examples/transcript/network.rs
@@ -29,8 +29,11 @@
 /// Time that is played for a seed.
 const DURATION: u64 = 45 * SECOND;
 /// How long workers may be kept alive without hearing of cancellations, and how long those are remembered.
-const BOUNDS: CancellationBounds =
-    CancellationBounds { longest_autonomy: Duration::from_secs(10), retention: Duration::from_secs(50) };
+const BOUNDS: CancellationBounds = CancellationBounds {
+    longest_autonomy: Duration::from_secs(10),
+    start_promise: Duration::from_secs(13),
+    retention: Duration::from_secs(50),
+};
 /// Interval between the lines of the public queries.
 const QUERY_INTERVAL: u64 = SECOND;
 
--- a/src/controller/heartbeat_routing.rs
+++ b/src/controller/heartbeat_routing.rs
@@ -227,7 +227,7 @@
         &mut self,
         response_id: u64,
         renewal: Option<LeaseRenewal>,
-        task_commands: Vec<TaskCommand>,
+        mut task_commands: Vec<TaskCommand>,
         leaseholder_may_respond: bool,
     ) {
         let Some(to) = self.routing.pending_replies.remove(&response_id) else { return };
@@ -235,6 +235,7 @@
         let now = self.clock.now();
         let knows_cancellations = now < self.leadership.cancellations.may_keep_alive_until();
         let entitled = self.leadership.authority(now).filter(|_| knows_cancellations).zip(renewal);
+        self.withhold_starts(now, &mut task_commands);
         match to {
             ReplyTo::Worker(to, stops) => {
                 let missing = stops.iter().filter(|stop| !task_commands.contains(stop));
@@ -256,6 +257,18 @@
         }
     }
 
+    /// Removes starts that must not leave any more: of jobs whose cancellation this node has acknowledged since the
+    /// scheduler decided, and all while it may have missed a cancellation. The machine's next heartbeat shows the
+    /// scheduler that they were not carried out.
+    fn withhold_starts(&self, now: Timestamp, task_commands: &mut Vec<TaskCommand>) {
+        let may_start_tasks = self.leadership.may_start_tasks(now);
+        let cancellations = &self.leadership.cancellations;
+        task_commands.retain(|command| match command {
+            TaskCommand::Start { .. } => may_start_tasks && !cancellations.starts_ended_job(command),
+            TaskCommand::Stop { .. } | TaskCommand::Forget { .. } => true,
+        });
+    }
+
     /// Answers what the scheduler has not answered when this node's leadership ends.
     pub(super) fn redirect_pending_replies(&mut self) {
         for (_, to) in std::mem::take(&mut self.routing.pending_replies) {
@@ -343,6 +356,9 @@
         leaseholder_may_respond: bool,
         task_commands: Vec<TaskCommand>,
     ) {
+        // A node that stood still reads the response before it notices the timeout. A cancellation may have been
+        // confirmed by then to a user without this node (`OwnConfirmation::is_safe_from_starts`).
+        self.answer_timed_out_relays(now);
         let Some(RelayedHeartbeat { reply: to, heartbeat, .. }) = self.routing.relayed.take_answered(id)
         else {
             return self.peers.count_ignored(from, IgnoredFrame::Unsolicited);
@@ -370,6 +386,10 @@
     /// As a leaseholder: sends the shard heartbeat that is due, and answers relayed heartbeats that timed out.
     pub(super) fn maintain_shard(&mut self, now: Timestamp) {
         self.send_shard_heartbeat(now);
+        self.answer_timed_out_relays(now);
+    }
+
+    fn answer_timed_out_relays(&mut self, now: Timestamp) {
         while let Some(timed_out) = self.routing.relayed.take_timed_out(now) {
             let RelayedHeartbeat { reply: to, heartbeat, .. } = timed_out;
             let reply = self.respond_as_leaseholder(now, &heartbeat, false);
--- a/src/controller/leadership_actions.rs
+++ b/src/controller/leadership_actions.rs
@@ -154,9 +154,11 @@
 
 /// Reads the lock and the epoch for a candidate.
 async fn probe(store: KeyValueStore) -> StoreResponse {
+    let sent = store.now();
     match store.read_lock_state().await {
         Ok(LockState { epoch, locked }) => {
-            StoreResponse::Probed { epoch: epoch.map(|stored| (stored.epoch, stored.version)), locked }
+            let epoch = epoch.map(|stored| (stored.epoch, stored.version));
+            StoreResponse::Probed { sent, epoch, locked }
         }
         Err(error) => {
             debug!(%error, "probe");
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -249,8 +249,7 @@
     /// Confirms cancellations to users as soon as that is safe; forgets those whose user has given up.
     fn answer_pending_confirmations(&mut self, now: Timestamp) {
         for pending in std::mem::take(&mut self.pending_confirmations) {
-            let outcome = self.leadership.cancellations.confirm(now, pending.job_id);
-            if outcome.is_permitted {
+            if self.leadership.is_confirmation_permitted(now, pending.job_id) {
                 // The user's request may have timed out.
                 let _ = pending.reply.send(());
             } else if !pending.reply.is_closed() {
@@ -263,6 +262,7 @@
         let Some(scheduler) = &mut self.scheduler else { return };
         scheduler.record_others_may_have_renewed_until(self.leadership.others_kept_alive_until(now));
         scheduler.record_unreachable_nodes(now, self.leadership.unreachable_peers(now));
+        scheduler.record_start_permission(self.leadership.may_start_tasks(now));
         scheduler.time_of_day(now, wall_ms());
         let effects = scheduler.step(now, commands);
         self.publication.publish_summary(now, scheduler, &self.peers);
--- a/src/controller/startup.rs
+++ b/src/controller/startup.rs
@@ -203,7 +203,8 @@
     let retention = limits::cancellation_retention(workers.cancel_s);
     let (names, incarnation) = (settings.node_names(), sender.incarnation);
     let seed = incarnation;
-    let bounds = CancellationBounds { longest_autonomy, retention };
+    let start_promise = limits::start_promise(workers.cancel_s, workers.lease_s);
+    let bounds = CancellationBounds { longest_autonomy, start_promise, retention };
     Leadership::new(names, sender.node, incarnation, now, bounds, seed)
 }
 
--- a/src/leadership/authority.rs
+++ b/src/leadership/authority.rs
@@ -5,6 +5,7 @@
 use super::role::Role;
 use super::Leadership;
 use crate::fencing_token::FencingToken;
+use crate::lease::cancellation_log::{EpochLeader, EpochReading};
 use crate::limits;
 use crate::time::Timestamp;
 use std::time::Duration;
@@ -33,6 +34,34 @@
         authority_by_grants_until.max(term.lease_until) - limits::AUTHORITY_MARGIN
     }
 
+    /// Whether this node may act as the leader and start tasks at `now`. A leader that can't rule out that another
+    /// node has confirmed a cancellation unknown to it goes on without starts.
+    pub fn may_start_tasks(&self, now: Timestamp) -> bool {
+        let starts_until = self.cancellations.may_start_tasks_until();
+        self.authority(now).is_some() && now + limits::AUTHORITY_MARGIN < starts_until
+    }
+
+    /// The node that the epoch record names, by the last reading. A node that has authority to lead knows that
+    /// the record names it.
+    pub(super) fn epoch_reading(&self, now: Timestamp) -> EpochReading {
+        if self.authority(now).is_some() {
+            return EpochReading { requested_at: now, leader: EpochLeader::LocalNode };
+        }
+        let leader = match self.lock.epoch() {
+            Some(record) => self.epoch_leader(&record.epoch.node),
+            None => EpochLeader::Nobody,
+        };
+        EpochReading { requested_at: self.lock.read_at(), leader }
+    }
+
+    fn epoch_leader(&self, node_name: &str) -> EpochLeader {
+        if node_name == self.peers.local_name() {
+            return EpochLeader::LocalNode;
+        }
+        let member = self.peers.others().find(|node| self.peers.name(*node) == node_name);
+        member.map_or(EpochLeader::Unknown, EpochLeader::Member)
+    }
+
     /// The fencing token under which this node, in keep-alive mode, may renew worker leases. None: it may
     /// not.
     pub fn keep_alive_token(&self, now: Timestamp) -> Option<FencingToken> {
--- a/src/leadership/interface.rs
+++ b/src/leadership/interface.rs
@@ -107,6 +107,8 @@
 pub enum StoreResponse {
     /// The answer to [`Action::Probe`].
     Probed {
+        /// When the request was sent, on the local clock.
+        sent: Timestamp,
         /// The epoch and the version of its record.
         epoch: Option<(Epoch, u64)>,
         /// Whether the lock is held.
--- a/src/leadership/lock_observation.rs
+++ b/src/leadership/lock_observation.rs
@@ -31,6 +31,8 @@
 pub(super) struct LockObservation {
     epoch: Option<EpochRecord>,
     locked: bool,
+    /// When the request of the last successful reading was sent; [`Timestamp::ZERO`]: not in this incarnation.
+    read_at: Timestamp,
     /// When the last successful reading arrived; None: not in this incarnation.
     probed_at: Option<Timestamp>,
     next_probe_at: Timestamp,
@@ -44,6 +46,7 @@
         LockObservation {
             epoch: None,
             locked: true,
+            read_at: Timestamp::ZERO,
             probed_at: None,
             next_probe_at: now,
             probe_in_flight: false,
@@ -55,6 +58,11 @@
         self.epoch.as_ref()
     }
 
+    /// When the request of the last successful reading was sent; [`Timestamp::ZERO`]: not in this incarnation.
+    pub(super) fn read_at(&self) -> Timestamp {
+        self.read_at
+    }
+
     /// Version of the epoch record; zero: there is none.
     pub(super) fn epoch_version(&self) -> u64 {
         self.epoch.as_ref().map_or(0, |record| record.version)
@@ -118,8 +126,15 @@
         }
     }
 
-    /// Records the answer to a probe.
-    pub(super) fn record_probe(&mut self, now: Timestamp, epoch: Option<(Epoch, u64)>, locked: bool) {
+    /// Records the answer, which arrives at `now`, to a probe that was sent at `sent`.
+    pub(super) fn record_probe(
+        &mut self,
+        now: Timestamp,
+        sent: Timestamp,
+        epoch: Option<(Epoch, u64)>,
+        locked: bool,
+    ) {
+        self.read_at = self.read_at.max(sent);
         self.epoch = epoch.map(|(epoch, version)| EpochRecord { epoch, version });
         self.locked = locked;
         let epoch_version = self.epoch_version();
--- a/src/leadership/messages.rs
+++ b/src/leadership/messages.rs
@@ -4,7 +4,7 @@
 use super::role::Role;
 use super::{Action, AttestationOutcome, ConfirmationOutcome, FollowedLeader, Leadership, Message, Status};
 use crate::fencing_token::FencingToken;
-use crate::lease::cancellation_log::{Attestation, StoreAccess};
+use crate::lease::cancellation_log::{Attestation, ConfirmOutcome, MemberHeartbeat, StoreAccess};
 use crate::limits;
 use crate::scheduler::model::JobId;
 use crate::time::Timestamp;
@@ -36,7 +36,7 @@
     /// Records a cancellation that is about to be confirmed to a user, and returns whether it may be
     /// confirmed now. The peers are informed at once.
     pub fn request_confirmation(&mut self, now: Timestamp, job_id: JobId) -> ConfirmationOutcome {
-        let outcome = self.cancellations.confirm(now, job_id);
+        let outcome = self.confirm(now, job_id);
         let mut actions = Vec::new();
         if outcome.is_new || !outcome.is_permitted {
             self.peers.others().for_each(|node| self.attest(now, node, &mut actions));
@@ -44,6 +44,16 @@
         ConfirmationOutcome { is_new: outcome.is_new, is_permitted: outcome.is_permitted, actions }
     }
 
+    /// Whether a cancellation that was recorded may be confirmed to its user by now.
+    pub fn is_confirmation_permitted(&mut self, now: Timestamp, job_id: JobId) -> bool {
+        self.confirm(now, job_id).is_permitted
+    }
+
+    fn confirm(&mut self, now: Timestamp, job_id: JobId) -> ConfirmOutcome {
+        let epoch = self.epoch_reading(now);
+        self.cancellations.confirm(now, job_id, epoch)
+    }
+
     fn attest(&mut self, now: Timestamp, to: usize, actions: &mut Vec<Action>) {
         let store_access = if self.status.store_answer_age >= limits::CONFIRMATION_SUSPENSION_DELAY {
             StoreAccess::Lost
@@ -82,7 +92,13 @@
         match message {
             Message::Heartbeat { token, sent } => {
                 self.peers.observe_heartbeat(now, from);
-                self.cancellations.observe_heartbeat(from, incarnation, status.gives_attestations, sent);
+                let heartbeat = MemberHeartbeat {
+                    incarnation,
+                    sent,
+                    gives_attestations: status.gives_attestations,
+                    reaches_store: status.store_answer_age < limits::STORE_LOST_TIMEOUT,
+                };
+                self.cancellations.observe_heartbeat(now, from, heartbeat);
                 self.attest(now, from, &mut actions);
                 if token > FencingToken::NONE {
                     self.handle_heartbeat_with_token(now, from, token, sent, &mut actions);
--- a/src/leadership/store_responses.rs
+++ b/src/leadership/store_responses.rs
@@ -24,7 +24,9 @@
     pub fn handle_store_response(&mut self, now: Timestamp, response: StoreResponse) -> Vec<Action> {
         let mut actions = Vec::new();
         match response {
-            StoreResponse::Probed { epoch, locked } => self.handle_probe(now, epoch, locked, &mut actions),
+            StoreResponse::Probed { sent, epoch, locked } => {
+                self.handle_probe(now, sent, epoch, locked, &mut actions)
+            }
             StoreResponse::TakeoverCommitted { lease, version, lease_sent } => {
                 let takeover = CommittedTakeover { lease, version, lease_sent };
                 self.handle_committed_takeover(now, takeover, &mut actions);
@@ -118,6 +120,7 @@
     fn handle_probe(
         &mut self,
         now: Timestamp,
+        sent: Timestamp,
         epoch: Option<(Epoch, u64)>,
         locked: bool,
         actions: &mut Vec<Action>,
@@ -130,7 +133,7 @@
             // The epoch may name another node: then this leader has been replaced.
             actions.extend(self.observe_token(epoch.token, now));
         }
-        self.lock.record_probe(now, epoch, locked);
+        self.lock.record_probe(now, sent, epoch, locked);
         if self.role.term().is_some_and(|term| term.lease.is_none()) {
             // The lock lease has expired while grants still run. If the lock is free, the leader steps down
             // and campaigns at once, to take the lock again under a new token.
--- a/src/leadership/tests/cluster.rs
+++ b/src/leadership/tests/cluster.rs
@@ -83,6 +83,8 @@
     /// than four are live. Tests without workers set it too: only nodes that read the live jobs know up to
     /// when they know every cancellation, on which authority without the lock lease depends.
     pub(super) mean_steps_between_jobs: u32,
+    /// Cancelled jobs, and when a node committed the cancellation, in true time.
+    pub(super) cancelled: BTreeMap<JobId, Timestamp>,
     /// Cancelled jobs, and when the cancellation was confirmed to the user, in true time.
     pub(super) confirmed: BTreeMap<JobId, Timestamp>,
 
@@ -96,6 +98,8 @@
     pub(super) process_by_token: BTreeMap<FencingToken, (usize, u64)>,
     /// Steps in which a leader had authority.
     pub(super) led_steps: u64,
+    /// Steps in which a leader might start tasks.
+    pub(super) start_steps: u64,
     /// Steps in which a node was in keep-alive mode.
     pub(super) keep_alive_steps: u64,
 }
@@ -117,12 +121,14 @@
             workers_report_to_peers_only: false,
             workers: Vec::new(),
             mean_steps_between_jobs: 0,
+            cancelled: BTreeMap::new(),
             confirmed: BTreeMap::new(),
             expired_leases: 0,
             autonomous_responses: 0,
             elected_tokens: Vec::new(),
             process_by_token: BTreeMap::new(),
             led_steps: 0,
+            start_steps: 0,
             keep_alive_steps: 0,
         };
         for node in 0..NODE_COUNT {
@@ -261,6 +267,7 @@
         }
         self.check_leadership();
         self.run_jobs();
+        self.check_confirmed_jobs_cannot_start();
         if !self.workers.is_empty() {
             self.run_leaseholders();
             (0..self.workers.len()).for_each(|worker| self.run_worker(worker));
--- a/src/leadership/tests/components.rs
+++ b/src/leadership/tests/components.rs
@@ -131,10 +131,10 @@
     lock.start_probe(START, SECOND);
     assert!(!lock.is_probe_due(START + SECOND), "the probe is under way");
     lock.end_probe();
-    lock.record_probe(NOW, None, false);
+    lock.record_probe(NOW, NOW, None, false);
     assert!(lock.is_known_free(NOW + limits::LOCK_PROBE_INTERVAL - Duration::from_micros(1)));
     assert!(!lock.is_known_free(NOW + limits::LOCK_PROBE_INTERVAL));
-    lock.record_probe(NOW, None, true);
+    lock.record_probe(NOW, NOW, None, true);
     assert!(!lock.is_known_free(NOW));
 }
 
@@ -143,14 +143,14 @@
     let mut lock = LockObservation::new(START);
     let free_since =
         |lock: &LockObservation| lock.continuously_free().map(|free| (free.epoch_version, free.since));
-    lock.record_probe(NOW, Some((epoch(FencingToken(3)), 11)), false);
-    lock.record_probe(NOW + SECOND, Some((epoch(FencingToken(3)), 11)), false);
+    lock.record_probe(NOW, NOW, Some((epoch(FencingToken(3)), 11)), false);
+    lock.record_probe(NOW + SECOND, NOW + SECOND, Some((epoch(FencingToken(3)), 11)), false);
     assert_eq!(free_since(&lock), Some((11, NOW)));
-    lock.record_probe(NOW + 2 * SECOND, Some((epoch(FencingToken(4)), 12)), false);
+    lock.record_probe(NOW + 2 * SECOND, NOW + 2 * SECOND, Some((epoch(FencingToken(4)), 12)), false);
     assert_eq!(free_since(&lock), Some((12, NOW + 2 * SECOND)));
     lock.forget_free_lock();
     assert_eq!(free_since(&lock), None);
-    lock.record_probe(NOW + 3 * SECOND, Some((epoch(FencingToken(4)), 12)), true);
+    lock.record_probe(NOW + 3 * SECOND, NOW + 3 * SECOND, Some((epoch(FencingToken(4)), 12)), true);
     assert_eq!(free_since(&lock), None);
     assert_eq!((lock.epoch_token(), lock.epoch_version()), (FencingToken(4), 12));
 }
--- a/src/leadership/tests/invariants.rs
+++ b/src/leadership/tests/invariants.rs
@@ -45,6 +45,21 @@
         }
     }
 
+    /// Checks that no leader can start a task of a job whose cancellation was confirmed to its user.
+    pub(super) fn check_confirmed_jobs_cannot_start(&mut self) {
+        let Some(leader) = self.leader().filter(|node| self.is_running(*node) && self.has_loaded(*node))
+        else {
+            return;
+        };
+        let leadership = &self.nodes[leader].leadership;
+        if !leadership.may_start_tasks(self.local_time(leader)) {
+            return;
+        }
+        self.start_steps += 1;
+        let started = self.confirmed.keys().find(|job_id| leadership.cancellations.is_live(**job_id));
+        assert_eq!(started, None, "leader {leader} starts tasks of a cancelled job at {}", self.now);
+    }
+
     /// Checks that each worker lease that the leader counts as expired has expired.
     pub(super) fn check_expired_leases(&mut self) {
         let Some(leader) = self.leader().filter(|node| self.is_running(*node)) else { return };
--- a/src/leadership/tests/key_value_store.rs
+++ b/src/leadership/tests/key_value_store.rs
@@ -44,7 +44,11 @@
     pub(super) fn apply(&mut self, now: Timestamp, action: Action, request: Request) -> StoreResponse {
         self.expire_leases(now);
         match action {
-            Action::Probe => StoreResponse::Probed { epoch: self.epoch.clone(), locked: self.lock.is_some() },
+            Action::Probe => StoreResponse::Probed {
+                sent: request.sent,
+                epoch: self.epoch.clone(),
+                locked: self.lock.is_some(),
+            },
             Action::TakeOver { token, version, ignore_lock } => {
                 let current_version = self.epoch.as_ref().map_or(0, |(_, version)| *version);
                 if current_version != version || !ignore_lock && self.lock.is_some() {
--- a/src/leadership/tests/mod.rs
+++ b/src/leadership/tests/mod.rs
@@ -8,7 +8,7 @@
 //! - `lease_ledger`: the leader's record of worker leases;
 //! - `invariants`: checks after every step;
 //! - `faults`: random faults;
-//! - `election_scenarios`, `cancellation_scenarios`: tests in the simulated cluster;
+//! - `election_scenarios`, `cancellation_scenarios`, `start_scenarios`: tests in the simulated cluster;
 //! - `one_node_of_three`, `components`: tests without a network.
 
 mod cancellation_scenarios;
@@ -21,6 +21,7 @@
 mod lease_ledger;
 mod network;
 mod one_node_of_three;
+mod start_scenarios;
 mod workers;
 
 use crate::lease::cancellation_log::CancellationBounds;
@@ -38,6 +39,8 @@
 /// How long workers may be kept alive after the time up to which every cancellation is known, not including
 /// `limits::LOCK_LEASE`, which `CancellationLog` adds.
 const LONGEST_AUTONOMY: Duration = Duration::from_secs(10);
+/// How long a member promises to confirm no cancellation that a leader may not know (`limits::start_promise`).
+const START_PROMISE: Duration = LONGEST_AUTONOMY.saturating_add(limits::LOCK_LEASE);
 /// The lease of a worker.
 const WORKER_LEASE: Duration = Duration::from_secs(10);
 /// How long tasks of a cancelled job may run after the cancellation was confirmed to the user: the setting
@@ -49,6 +52,7 @@
     .saturating_add(SECOND);
 const BOUNDS: CancellationBounds = CancellationBounds {
     longest_autonomy: LONGEST_AUTONOMY,
+    start_promise: START_PROMISE,
     retention: CANCELLATION_DEADLINE.saturating_mul(2),
 };
 
--- a/src/leadership/tests/network.rs
+++ b/src/leadership/tests/network.rs
@@ -5,7 +5,7 @@
 use super::key_value_store::Request;
 use super::lease_ledger::LeaseLedger;
 use super::random_duration;
-use super::MS;
+use super::{MS, NODE_COUNT};
 use crate::leadership::{Action, Message, Status, StoreResponse};
 use crate::lease::cancellation_log::Attestation;
 use crate::limits::SECOND;
@@ -228,9 +228,9 @@
     }
 
     fn confirm_cancellation(&mut self, node: usize, process: u64, job_id: JobId) {
-        // Without a response the node confirms nothing to the user.
+        // Without a response the node confirms nothing to the user, who repeats the request at another node.
         if self.nodes[node].process != process || !self.reaches_store(node) {
-            return;
+            return self.repeat_cancellation((node + 1) % NODE_COUNT, job_id);
         }
         let now = self.local_time(node);
         let outcome = self.nodes[node].leadership.request_confirmation(now, job_id);
@@ -238,8 +238,13 @@
         if outcome.is_permitted {
             self.confirmed.entry(job_id).or_insert(self.now);
         } else {
-            // The user retries.
-            self.send(SECOND, Delivery::CancellationCommitted { node, process, job_id });
+            self.repeat_cancellation(node, job_id);
         }
     }
+
+    /// The user repeats the cancellation a second later.
+    fn repeat_cancellation(&mut self, node: usize, job_id: JobId) {
+        let process = self.nodes[node].process;
+        self.send(SECOND, Delivery::CancellationCommitted { node, process, job_id });
+    }
 }
--- a/src/leadership/tests/one_node_of_three.rs
+++ b/src/leadership/tests/one_node_of_three.rs
@@ -19,7 +19,7 @@
         0,
         1,
         now,
-        CancellationBounds { longest_autonomy: SECOND, retention: Duration::ZERO },
+        CancellationBounds { longest_autonomy: SECOND, start_promise: SECOND, retention: Duration::ZERO },
         0,
     );
     // The earlier incarnation's clock had another origin, so its stamps lie in the future of the new clock or
@@ -52,7 +52,7 @@
         Message::Grant { token: FencingToken(5), echo: Timestamp::from_micros(9) }
     )));
     let epoch = Epoch { token: FencingToken(5), node: "a".into(), incarnation: 1 };
-    let probed = StoreResponse::Probed { epoch: Some((epoch, 3)), locked: true };
+    let probed = StoreResponse::Probed { sent: now, epoch: Some((epoch, 3)), locked: true };
     assert!(matches!(
         node.handle_store_response(now, probed)[..],
         [Action::TakeOver { token: FencingToken(6), ignore_lock: true, .. }]
--- a/src/leadership/tests/workers.rs
+++ b/src/leadership/tests/workers.rs
@@ -155,6 +155,7 @@
             return;
         }
         let Some(job_id) = self.store.live_jobs.pop_first() else { return };
+        self.cancelled.insert(job_id, self.now);
         let delay = self.random_delay();
         let process = self.nodes[node].process;
         self.send(delay, Delivery::CancellationCommitted { node, process, job_id });
@@ -297,7 +298,7 @@
     }
 
     /// Whether the node has read the jobs since its process or its term as leader began.
-    fn has_loaded(&self, node: usize) -> bool {
+    pub(super) fn has_loaded(&self, node: usize) -> bool {
         self.mean_steps_between_jobs == 0 || self.nodes[node].jobs_read_at > Timestamp::ZERO
     }
 
--- a/src/lease/cancellation_log.rs
+++ b/src/lease/cancellation_log.rs
@@ -20,13 +20,26 @@
 //!    restart. A member that has lost the key-value store also promises that for a while it will confirm no
 //!    cancellation that this node has not acknowledged. Its attestation covers that time too, even if the
 //!    member restarts within it: the new incarnation keeps a promise that an earlier one may have given.
+//!
+//! No task of a job may start once its cancellation is confirmed. A leader therefore starts tasks only
+//! 1. under promises of all other members: with each attestation a member promises that for a while it confirms no
+//!    cancellation that the receiver may not know; or
+//! 2. for a short time after it sent the request that last read the live jobs.
+//!
+//! A node confirms a cancellation once all other members know it, or once those that do not know it can start no
+//! task of the job: by the key-value store another node leads, or both times have passed for the leader, and no
+//! leaseholder can still pass on an earlier start.
+
+pub use super::cancellation_log_member::MemberHeartbeat;
+pub use super::own_confirmations::{EpochLeader, EpochReading};
 
 use super::cancellation_log_member::Member;
+use super::own_confirmations::OwnConfirmations;
 use crate::limits::{self, minus_clock_drift};
 use crate::scheduler::model::{Heartbeat, JobId, ReportedTask, TaskStatus};
 use crate::scheduler::TaskCommand;
 use crate::time::Timestamp;
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 /// What a member states about the cancellations that it confirmed, in answer to a heartbeat of the receiver.
@@ -41,6 +54,10 @@
     /// Whether the sender promises to confirm no cancellation that the receiver has not acknowledged, for
     /// `limits::CONFIRMATION_SUSPENSION`.
     pub confirmations_suspended: bool,
+    /// For this long, counted from the arrival of the heartbeat that it answers, the sender promises to confirm
+    /// no cancellation that the receiver may not know while it starts tasks. Zero: an earlier version, which
+    /// promises nothing.
+    pub start_promise: Duration,
     /// Number of the receiver's last confirmation that the sender knows. Each incarnation numbers its
     /// confirmations from one; zero: none.
     pub acknowledged: u64,
@@ -57,6 +74,8 @@
     /// How long workers may be kept alive beyond the time up to which every cancellation is known, less
     /// `limits::LOCK_LEASE`, which the log adds ([`limits::longest_autonomy`]).
     pub longest_autonomy: Duration,
+    /// The promise about starts in each attestation ([`limits::start_promise`]).
+    pub start_promise: Duration,
     /// How long a cancellation is remembered ([`limits::cancellation_retention`]).
     pub retention: Duration,
 }
@@ -79,7 +98,8 @@
     /// True when this node first learns that the job has ended, or first records its own confirmation.
     pub is_new: bool,
     /// Whether the cancellation may be confirmed now. False while any member that was promised a suspension
-    /// of confirmations has not acknowledged the cancellation.
+    /// of confirmations has not acknowledged the cancellation, and while a member that does not know it may
+    /// start tasks of the job.
     pub is_permitted: bool,
 }
 
@@ -92,14 +112,9 @@
     pub has_new: bool,
 }
 
-/// A cancellation that this incarnation confirmed, or is about to confirm, to a user.
-#[derive(Debug)]
-struct OwnConfirmation {
-    /// Consecutive number, from one in each incarnation.
-    number: u64,
-    recorded_at: Timestamp,
-    job_id: JobId,
-}
+/// Half of the range of times: later than every reading of a clock, and adding a duration to it does not reach
+/// the end of the range.
+const NEVER_ENDS: Timestamp = Timestamp::from_micros(u64::MAX / 2);
 
 /// The cancellations that this node knows, and up to when it knows all of them.
 #[derive(Debug)]
@@ -110,15 +125,14 @@
     /// How long workers may be kept alive beyond the time up to which every cancellation is known:
     /// `CancellationBounds::longest_autonomy` plus the lock lease.
     max_keep_alive: Duration,
+    /// The promise about starts in each attestation.
+    start_promise: Duration,
     /// How long a cancellation is remembered. It is not needed once its tasks have ended, `cancel_s` after
     /// it was confirmed.
     retention: Duration,
     /// By node number; the local node's entry is unused.
     members: Vec<Member>,
-    /// The oldest first.
-    own_confirmations: VecDeque<OwnConfirmation>,
-    /// Number of this incarnation's last confirmation; zero: none.
-    last_number: u64,
+    own_confirmations: OwnConfirmations,
     /// Jobs that have ended, by any source, and when this node learnt it.
     terminated: HashMap<JobId, Timestamp>,
     /// The live jobs as last read, without those that are known to have ended.
@@ -141,10 +155,10 @@
             incarnation,
             started_at: now,
             max_keep_alive: bounds.longest_autonomy + limits::LOCK_LEASE,
+            start_promise: bounds.start_promise,
             retention: bounds.retention,
-            members: vec![Member::new(now); members],
-            own_confirmations: VecDeque::new(),
-            last_number: 0,
+            members: vec![Member::new(now, bounds.start_promise); members],
+            own_confirmations: OwnConfirmations::default(),
             terminated: HashMap::new(),
             live: HashSet::new(),
             store_read_at: Timestamp::ZERO,
@@ -164,9 +178,8 @@
         if self.store_read_at == Timestamp::ZERO {
             return Timestamp::ZERO;
         }
-        // Without other members this node always knows every cancellation. Half of the range is later than
-        // every reading of a clock, and adding a duration to it does not reach the end of the range.
-        self.other_members().map(Member::known_until).min().unwrap_or(Timestamp::from_micros(u64::MAX / 2))
+        // Without other members this node always knows every cancellation.
+        self.other_members().map(Member::known_until).min().unwrap_or(NEVER_ENDS)
     }
 
     /// The time up to which this node knows every cancellation by the key-value store: when the request was
@@ -190,6 +203,16 @@
         self.keep_alive_end(self.known_until_by_store().max(self.known_until_by_members()))
     }
 
+    /// Until when this node, if it leads, may start tasks; [`Timestamp::ZERO`]: not at all.
+    pub fn may_start_tasks_until(&self) -> Timestamp {
+        if self.store_read_at == Timestamp::ZERO {
+            return Timestamp::ZERO;
+        }
+        let by_reading = self.store_read_at + minus_clock_drift(limits::START_TIME_AFTER_READING);
+        let promises = self.other_members().map(Member::start_promise_received_until);
+        by_reading.max(promises.min().unwrap_or(NEVER_ENDS))
+    }
+
     /// Whether the job has ended, so that none of its tasks may start.
     pub fn is_terminated(&self, job_id: JobId) -> bool {
         self.terminated.contains_key(&job_id)
@@ -233,7 +256,8 @@
         task_commands
     }
 
-    fn starts_ended_job(&self, command: &TaskCommand) -> bool {
+    /// Whether the command starts a task of a job that has ended.
+    pub fn starts_ended_job(&self, command: &TaskCommand) -> bool {
         match command {
             TaskCommand::Start { id, .. } => self.is_terminated(id.job_id),
             TaskCommand::Stop { .. } | TaskCommand::Forget { .. } => false,
@@ -271,9 +295,7 @@
     fn forget_old_cancellations(&mut self, now: Timestamp) {
         let retention = self.retention;
         self.terminated.retain(|_, learnt_at| now < *learnt_at + retention);
-        while self.own_confirmations.front().is_some_and(|own| now >= own.recorded_at + retention) {
-            self.own_confirmations.pop_front();
-        }
+        self.own_confirmations.forget_old(now, retention);
     }
 
     /// Returns whether this is new: this node did not yet know that the job has ended.
@@ -284,45 +306,58 @@
 
     // ---- confirmations and attestations ----
 
-    /// Records that this node is about to confirm to a user that the job is cancelled.
-    pub fn confirm(&mut self, now: Timestamp, job_id: JobId) -> ConfirmOutcome {
-        let known = self.own_confirmations.iter().rev().find(|own| own.job_id == job_id);
-        let known = known.map(|own| own.number);
-        let number = known.unwrap_or_else(|| {
-            self.last_number += 1;
-            let number = self.last_number;
-            self.own_confirmations.push_back(OwnConfirmation { number, recorded_at: now, job_id });
-            number
-        });
-        let is_new = self.record_terminated(now, job_id) || known.is_none();
-        let is_permitted = self.other_members().all(|member| member.permits_confirmation(now, number));
-        ConfirmOutcome { is_new, is_permitted }
+    /// Records that this node is about to confirm to a user that the job is cancelled. `epoch`: the last reading
+    /// of the epoch record.
+    pub fn confirm(&mut self, now: Timestamp, job_id: JobId, epoch: EpochReading) -> ConfirmOutcome {
+        let is_recorded = self.own_confirmations.of_job(job_id).is_some();
+        if !is_recorded {
+            let autonomy = self.max_keep_alive;
+            let starts_possible_until = self.members.iter().map(|m| m.starts_possible_until(now, autonomy));
+            self.own_confirmations.record(now, job_id, starts_possible_until.collect());
+        }
+        let is_new = self.record_terminated(now, job_id) || !is_recorded;
+        self.rule_out_starts(now, epoch);
+        ConfirmOutcome { is_new, is_permitted: self.is_confirmation_permitted(now, job_id) }
     }
 
-    /// A heartbeat of the member `from` arrived, sent at `stamp` on its clock. `gives_attestations`: the
-    /// member sends attestations and accepts them.
-    pub fn observe_heartbeat(
-        &mut self,
-        from: usize,
-        incarnation: u64,
-        gives_attestations: bool,
-        stamp: Timestamp,
-    ) {
+    fn is_confirmation_permitted(&self, now: Timestamp, job_id: JobId) -> bool {
+        let Some(own) = self.own_confirmations.of_job(job_id) else { return false };
+        let is_suspended = self.other_members().any(|member| !member.permits_confirmation(now, own.number));
+        let is_known_to_all =
+            || self.other_members().all(|member| member.knows_confirmation(now, own.number));
+        !is_suspended && (is_known_to_all() || own.is_safe_from_starts(now))
+    }
+
+    /// Records for each confirmation that a member has not acknowledged whether any leader may still start tasks
+    /// of its job.
+    pub fn rule_out_starts(&mut self, now: Timestamp, epoch: EpochReading) {
+        let acknowledged_by_all = self.other_members().map(Member::acknowledged).min().unwrap_or(u64::MAX);
+        let (members, local_node) = (&self.members, self.local_node);
+        for own in self.own_confirmations.after_mut(acknowledged_by_all) {
+            let number = own.number;
+            let knows_cancellation =
+                |node: usize| node == local_node || members[node].knows_confirmation(now, number);
+            own.rule_out_starts(now, epoch, knows_cancellation);
+        }
+    }
+
+    /// A heartbeat of the member `from` arrived at `now`.
+    pub fn observe_heartbeat(&mut self, now: Timestamp, from: usize, heartbeat: MemberHeartbeat) {
         if let Some(member) = self.members.get_mut(from) {
-            member.observe_heartbeat(incarnation, gives_attestations, stamp);
+            member.observe_heartbeat(now, heartbeat);
         }
     }
 
     /// The attestation for the member `to`. None if the member is not known to accept attestations, or if
     /// there are too many cancellations for one. While the store is lost it includes the promise to suspend
     /// confirmations.
-    #[must_use = "a promise to suspend confirmations is recorded here, so the attestation should be sent"]
+    #[must_use = "promises about confirmations are recorded here, so the attestation should be sent"]
     pub fn attest_to(&mut self, now: Timestamp, to: usize, store_access: StoreAccess) -> Option<Attestation> {
         let member = self.members.get_mut(to)?;
         let suspended = store_access == StoreAccess::Lost;
         let attestation = member.attestation(suspended)?;
         let acknowledged = member.acknowledged();
-        let missing = self.own_confirmations.iter().filter(|own| own.number > acknowledged);
+        let missing = self.own_confirmations.after(acknowledged);
         let cancelled: Vec<u64> =
             missing.map(|own| own.job_id.0).take(limits::MAX_ATTESTED_CANCELLATIONS + 1).collect();
         if cancelled.len() > limits::MAX_ATTESTED_CANCELLATIONS {
@@ -333,8 +368,10 @@
         if suspended {
             member.promise_suspension(now);
         }
+        member.give_start_promise(self.start_promise);
         let incarnation_age = now.since(self.started_at);
-        Some(Attestation { incarnation_age, last_number: self.last_number, cancelled, ..attestation })
+        let (start_promise, last_number) = (self.start_promise, self.own_confirmations.last_number());
+        Some(Attestation { incarnation_age, start_promise, last_number, cancelled, ..attestation })
     }
 
     /// Applies an attestation of the member `from`. `incarnation`: that of the sending process.
@@ -369,8 +406,8 @@
     /// once all others report the key-value store as lost. This node therefore reports the loss to it only if
     /// this node has confirmed no cancellation recently.
     pub fn has_confirmed_none_recently(&self, now: Timestamp) -> bool {
-        let is_recent = |own: &OwnConfirmation| now < own.recorded_at + self.retention;
-        let has_recent = self.own_confirmations.back().is_some_and(is_recent);
+        let last_recorded_at = self.own_confirmations.last_recorded_at();
+        let has_recent = last_recorded_at.is_some_and(|recorded_at| now < recorded_at + self.retention);
         !has_recent && (self.store_read_at > Timestamp::ZERO || now >= self.started_at + self.retention)
     }
 }
--- a/src/lease/cancellation_log_member.rs
+++ b/src/lease/cancellation_log_member.rs
@@ -1,13 +1,27 @@
 //! State of the cancellation log for one other member: which of this node's confirmed cancellations the
-//! member has acknowledged, and up to when this node knows every cancellation that the member confirmed.
+//! member has acknowledged, up to when this node knows every cancellation that the member confirmed, and what
+//! each of the two has promised the other about starts of tasks.
 //!
 //! Owned by [`super::cancellation_log::CancellationLog`], which is the only caller.
 
 use super::cancellation_log::Attestation;
-use crate::limits::{self, minus_clock_drift};
+use crate::limits::{self, minus_clock_drift, plus_clock_drift};
 use crate::time::Timestamp;
 use std::time::Duration;
 
+/// A heartbeat of a member.
+#[derive(Debug, Clone, Copy)]
+pub struct MemberHeartbeat {
+    /// The sender's process.
+    pub incarnation: u64,
+    /// When it was sent, on the sender's clock.
+    pub sent: Timestamp,
+    /// Whether the sender gives attestations and accepts them.
+    pub gives_attestations: bool,
+    /// Whether the key-value store answers the sender.
+    pub reaches_store: bool,
+}
+
 /// State of the cancellation log for one other member.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Member {
@@ -19,6 +33,10 @@
     sends_no_attestations: bool,
     /// The send time of its last heartbeat, on its clock.
     heartbeat_stamp: Timestamp,
+    /// When its last heartbeat arrived.
+    heartbeat_at: Timestamp,
+    /// Whether the key-value store answered it when it sent its last heartbeat.
+    reaches_store: bool,
     /// Number of this node's last confirmation that the member's current incarnation has acknowledged.
     acknowledged_by_member: u64,
     /// Until when this node has promised to confirm no cancellation that the member has not acknowledged.
@@ -27,13 +45,25 @@
     last_received_number: u64,
     /// This node knows every cancellation that the member confirmed before then.
     known_until: Timestamp,
+    /// Until when this node has promised to confirm no cancellation that the member may not know while it starts
+    /// tasks.
+    start_promise_given_until: Timestamp,
+    /// Until when the member has promised the same to this node.
+    start_promise_received_until: Timestamp,
+    /// Its current incarnation starts tasks only under such promises, or after a recent reading of the live jobs.
+    limits_starts: bool,
 }
 
 impl Member {
     /// The state when this process starts, at `now`. An earlier incarnation of this node may have promised
-    /// the member, as late as `now`, to suspend confirmations. This incarnation keeps such a promise.
-    pub(super) fn new(now: Timestamp) -> Self {
-        Member { suspended_until: now + limits::CONFIRMATION_SUSPENSION, ..Member::default() }
+    /// the member, as late as `now`, to suspend confirmations, and given it a promise about starts. This
+    /// incarnation keeps such promises.
+    pub(super) fn new(now: Timestamp, start_promise: Duration) -> Self {
+        Member {
+            suspended_until: now + limits::CONFIRMATION_SUSPENSION,
+            start_promise_given_until: now + plus_clock_drift(start_promise),
+            ..Member::default()
+        }
     }
 
     /// Whether this is the incarnation of the member's last heartbeat, and the member sends attestations.
@@ -56,19 +86,55 @@
         self.sends_no_attestations || now >= self.suspended_until || self.acknowledged_by_member >= number
     }
 
-    /// A heartbeat of the member arrived, sent at `stamp` on its clock. `gives_attestations`: the member
-    /// sends attestations and accepts them.
-    pub(super) fn observe_heartbeat(&mut self, incarnation: u64, gives_attestations: bool, stamp: Timestamp) {
+    /// Whether the member knows this node's confirmation `number`. A member that sends no attestations follows
+    /// the changes in the key-value store, so it is taken to know the cancellation while it is in contact and
+    /// reaches the store; nothing proves that it does.
+    pub(super) fn knows_confirmation(&self, now: Timestamp, number: u64) -> bool {
+        let follows_store = self.sends_no_attestations
+            && self.reaches_store
+            && now < self.heartbeat_at + limits::PEER_TIMEOUT;
+        follows_store || self.acknowledged_by_member >= number
+    }
+
+    /// Until when the member may start tasks of a job whose cancellation was committed before `now`, if it does
+    /// not learn of it. `unlimited_autonomy`: how long a member that does not limit its starts may lead without
+    /// knowing the cancellation.
+    pub(super) fn starts_possible_until(&self, now: Timestamp, unlimited_autonomy: Duration) -> Timestamp {
+        let after_reading =
+            if self.limits_starts { limits::START_TIME_AFTER_READING } else { unlimited_autonomy };
+        self.start_promise_given_until.max(now + plus_clock_drift(after_reading))
+    }
+
+    /// Until when the member has promised to confirm no cancellation that this node may not know while it starts
+    /// tasks.
+    pub(super) fn start_promise_received_until(&self) -> Timestamp {
+        self.start_promise_received_until
+    }
+
+    /// A heartbeat of the member arrived at `now`.
+    pub(super) fn observe_heartbeat(&mut self, now: Timestamp, heartbeat: MemberHeartbeat) {
+        let MemberHeartbeat { incarnation, sent, gives_attestations, reaches_store } = heartbeat;
         self.sends_no_attestations = !gives_attestations;
         // Incarnation zero is treated as unknown.
         let incarnation = Some(incarnation).filter(|incarnation| gives_attestations && *incarnation != 0);
         if self.incarnation != incarnation {
-            // A new incarnation has acknowledged no confirmation of this node, and numbers its own from one.
+            // A new incarnation has acknowledged no confirmation of this node, and numbers its own from one. It
+            // may run an earlier version.
             self.incarnation = incarnation;
             self.acknowledged_by_member = 0;
             self.last_received_number = 0;
+            self.limits_starts = false;
         }
-        self.heartbeat_stamp = stamp;
+        self.heartbeat_stamp = sent;
+        self.heartbeat_at = now;
+        self.reaches_store = reaches_store;
+    }
+
+    /// This node gives the member a promise about starts with an attestation. It counts from the arrival of the
+    /// heartbeat that the attestation answers.
+    pub(super) fn give_start_promise(&mut self, start_promise: Duration) {
+        let until = self.heartbeat_at + plus_clock_drift(start_promise);
+        self.start_promise_given_until = self.start_promise_given_until.max(until);
     }
 
     /// This node promises at `now` to suspend confirmations.
@@ -102,6 +168,7 @@
         // cancellations.
         let has_new = attestation.last_number > self.last_received_number;
         self.last_received_number = self.last_received_number.max(attestation.last_number);
+        self.limits_starts = attestation.start_promise > Duration::ZERO;
         let incarnation_began = now - minus_clock_drift(attestation.incarnation_age);
         // If the incarnation began after the time up to which this node knows every cancellation, an earlier
         // incarnation may have confirmed some in between, which the member no longer knows.
@@ -113,6 +180,12 @@
             };
             self.known_until = self.known_until.max(attestation.echo + suspension);
         }
+        // An incarnation that began under the promise of an earlier one keeps that promise, and gives its own.
+        let known_for_starts = self.known_until.max(store_read_at).max(self.start_promise_received_until);
+        if incarnation_began <= known_for_starts {
+            let until = attestation.echo + minus_clock_drift(attestation.start_promise);
+            self.start_promise_received_until = self.start_promise_received_until.max(until);
+        }
         has_new
     }
 }
--- a/src/lease/cancellation_log_tests.rs
+++ b/src/lease/cancellation_log_tests.rs
@@ -1,7 +1,8 @@
 //! Tests of `cancellation_log`: the logs of two nodes that exchange attestations.
 
 use super::{
-    AppliedAttestation, Attestation, CancellationBounds, CancellationLog, ConfirmOutcome, StoreAccess,
+    AppliedAttestation, Attestation, CancellationBounds, CancellationLog, ConfirmOutcome, EpochLeader,
+    EpochReading, MemberHeartbeat, StoreAccess,
 };
 use crate::fencing_token::FencingToken;
 use crate::limits;
@@ -12,9 +13,13 @@
 
 const SECOND: Duration = limits::SECOND;
 const NOW: Timestamp = Timestamp::from_micros(1 << 45);
+const START_PROMISE: Duration = Duration::from_secs(13);
 const RETENTION: Duration = Duration::from_secs(80);
-const BOUNDS: CancellationBounds =
-    CancellationBounds { longest_autonomy: Duration::from_secs(10), retention: RETENTION };
+const BOUNDS: CancellationBounds = CancellationBounds {
+    longest_autonomy: Duration::from_secs(10),
+    start_promise: START_PROMISE,
+    retention: RETENTION,
+};
 const NOTHING_APPLIED: AppliedAttestation = AppliedAttestation { cancelled_jobs: Vec::new(), has_new: false };
 
 /// The logs of nodes 0 and 1, of incarnations 70 and 71. Both have read jobs 1 and 2 as live.
@@ -27,6 +32,18 @@
     (node_0, node_1)
 }
 
+/// A heartbeat of the member `from`, sent at `stamp` on its clock, arrives at `log` at the same reading of its own.
+fn observe_heartbeat(
+    log: &mut CancellationLog,
+    from: usize,
+    incarnation: u64,
+    gives_attestations: bool,
+    stamp: Timestamp,
+) {
+    let heartbeat = MemberHeartbeat { incarnation, sent: stamp, gives_attestations, reaches_store: true };
+    log.observe_heartbeat(stamp, from, heartbeat);
+}
+
 /// `asker` sends `attester` a heartbeat, and `attester` answers with an attestation. Returns the jobs that
 /// `asker` did not yet know to be cancelled.
 fn exchange(
@@ -35,7 +52,7 @@
     asker: &mut CancellationLog,
     store_access: StoreAccess,
 ) -> Vec<JobId> {
-    attester.observe_heartbeat(asker.local_node, asker.incarnation, true, now);
+    observe_heartbeat(attester, asker.local_node, asker.incarnation, true, now);
     let attestation = attester.attest_to(now, asker.local_node, store_access).unwrap();
     asker.apply_attestation(now, attester.local_node, attester.incarnation, &attestation).cancelled_jobs
 }
@@ -62,8 +79,8 @@
 fn an_attested_cancellation_adds_stop_commands_to_every_response() {
     let (mut node_0, mut node_1) = two_nodes();
     assert_eq!(node_1.stop_commands(&heartbeat(&[1, 2])), Some(Vec::new()));
-    assert!(node_0.confirm(NOW + 2 * SECOND, JobId(1)).is_new);
-    node_1.observe_heartbeat(0, 70, true, NOW);
+    assert!(node_0.confirm(NOW + 2 * SECOND, JobId(1), EpochReading::NONE).is_new);
+    observe_heartbeat(&mut node_1, 0, 70, true, NOW);
     assert_eq!(exchange(NOW + 2 * SECOND, &mut node_0, &mut node_1, StoreAccess::Available), [JobId(1)]);
     let stop = TaskCommand::Stop { id: TaskId { job_id: JobId(1), task: 0 }, attempt: 3, grace_s: 0.0 };
     assert_eq!(node_1.stop_commands(&heartbeat(&[1, 2])), Some(vec![stop.clone()]));
@@ -84,8 +101,8 @@
     let start = |job_id| TaskCommand::Start { id: TaskId { job_id: JobId(job_id), task: 0 }, attempt: 4 };
     let from_leader = vec![start(1), start(2)];
     assert_eq!(node_1.with_cancellations_applied(from_leader.clone(), &heartbeat(&[])), from_leader);
-    assert!(node_0.confirm(NOW + 2 * SECOND, JobId(1)).is_new);
-    node_1.observe_heartbeat(0, 70, true, NOW);
+    assert!(node_0.confirm(NOW + 2 * SECOND, JobId(1), EpochReading::NONE).is_new);
+    observe_heartbeat(&mut node_1, 0, 70, true, NOW);
     exchange(NOW + 2 * SECOND, &mut node_0, &mut node_1, StoreAccess::Available);
     assert_eq!(node_1.with_cancellations_applied(from_leader, &heartbeat(&[])), [start(2)]);
     // A command to forget an exited task of the job is passed on.
@@ -96,12 +113,12 @@
 #[test]
 fn attestations_of_a_new_incarnation_apply_only_after_a_read_of_the_store() {
     let (mut node_0, mut node_1) = two_nodes();
-    node_1.observe_heartbeat(0, 70, true, NOW);
+    observe_heartbeat(&mut node_1, 0, 70, true, NOW);
     exchange(NOW + 2 * SECOND, &mut node_0, &mut node_1, StoreAccess::Available);
     assert_eq!(node_1.known_until_by_members(), NOW + 2 * SECOND);
     // A new incarnation of the member does not know what the previous one confirmed before it ended.
     let mut node_0 = CancellationLog::new(2, 0, 72, NOW + 4 * SECOND, BOUNDS);
-    node_1.observe_heartbeat(0, 72, true, NOW);
+    observe_heartbeat(&mut node_1, 0, 72, true, NOW);
     exchange(NOW + 5 * SECOND, &mut node_0, &mut node_1, StoreAccess::Available);
     assert_eq!(node_1.known_until_by_members(), NOW + 2 * SECOND);
     // Its attestations apply again once the live jobs have been read after its start.
@@ -113,45 +130,51 @@
 #[test]
 fn suspended_confirmations_cover_a_restart_and_last_until_members_acknowledge() {
     let (mut node_0, mut node_1) = two_nodes();
-    node_1.observe_heartbeat(0, 70, true, NOW);
+    observe_heartbeat(&mut node_1, 0, 70, true, NOW);
     exchange(NOW + 20 * SECOND, &mut node_0, &mut node_1, StoreAccess::Lost);
     assert_eq!(
-        node_0.confirm(NOW + 21 * SECOND, JobId(1)),
+        node_0.confirm(NOW + 21 * SECOND, JobId(1), EpochReading::NONE),
         ConfirmOutcome { is_new: true, is_permitted: false },
         "confirmations are suspended, and the cancellation is not acknowledged"
     );
     exchange(NOW + 22 * SECOND, &mut node_0, &mut node_1, StoreAccess::Lost);
-    node_0.observe_heartbeat(1, 71, true, NOW);
+    observe_heartbeat(&mut node_0, 1, 71, true, NOW);
     exchange(NOW + 22 * SECOND, &mut node_1, &mut node_0, StoreAccess::Lost);
     assert_eq!(
-        node_0.confirm(NOW + 22 * SECOND, JobId(1)),
+        node_0.confirm(NOW + 22 * SECOND, JobId(1), EpochReading::NONE),
         ConfirmOutcome { is_new: false, is_permitted: true }
     );
     // The member's next incarnation keeps the promise, so that there is no gap.
     let mut node_0 = CancellationLog::new(2, 0, 72, NOW + 28 * SECOND, BOUNDS);
     assert_eq!(
-        node_0.confirm(NOW + 29 * SECOND, JobId(2)),
+        node_0.confirm(NOW + 29 * SECOND, JobId(2), EpochReading::NONE),
         ConfirmOutcome { is_new: true, is_permitted: false }
     );
-    node_1.observe_heartbeat(0, 72, true, NOW);
+    observe_heartbeat(&mut node_1, 0, 72, true, NOW);
     exchange(NOW + 29 * SECOND, &mut node_0, &mut node_1, StoreAccess::Available);
     let promised = NOW + 22 * SECOND + limits::minus_clock_drift(limits::CONFIRMATION_SUSPENSION);
     assert_eq!(node_1.known_until_by_members(), promised.max(NOW + 29 * SECOND));
-    assert!(node_0.confirm(NOW + 28 * SECOND + limits::CONFIRMATION_SUSPENSION, JobId(2)).is_permitted);
+    // No other node leads, so only the promise holds the confirmation back.
+    let reading = EpochReading { requested_at: NOW + 30 * SECOND, leader: EpochLeader::LocalNode };
+    let promise_ends_at = NOW + 28 * SECOND + limits::CONFIRMATION_SUSPENSION;
+    for time in [NOW + 30 * SECOND, promise_ends_at - Duration::from_micros(1)] {
+        assert!(!node_0.confirm(time, JobId(2), reading).is_permitted);
+    }
+    assert!(node_0.confirm(promise_ends_at, JobId(2), reading).is_permitted);
 }
 
 #[test]
 fn attestations_for_or_from_another_incarnation_are_ignored() {
     let (mut node_0, mut node_1) = two_nodes();
-    assert!(node_0.confirm(NOW + 2 * SECOND, JobId(1)).is_new);
-    node_0.observe_heartbeat(1, 71, true, NOW + 2 * SECOND);
+    assert!(node_0.confirm(NOW + 2 * SECOND, JobId(1), EpochReading::NONE).is_new);
+    observe_heartbeat(&mut node_0, 1, 71, true, NOW + 2 * SECOND);
     let attestation = node_0.attest_to(NOW + 2 * SECOND, 1, StoreAccess::Available).unwrap();
     // No heartbeat has shown that the sender attests, or the last one was of another incarnation of the
     // sender.
     assert_eq!(node_1.apply_attestation(NOW + 2 * SECOND, 0, 70, &attestation), NOTHING_APPLIED);
-    node_1.observe_heartbeat(0, 72, true, NOW);
+    observe_heartbeat(&mut node_1, 0, 72, true, NOW);
     assert_eq!(node_1.apply_attestation(NOW + 2 * SECOND, 0, 70, &attestation), NOTHING_APPLIED);
-    node_1.observe_heartbeat(0, 70, true, NOW);
+    observe_heartbeat(&mut node_1, 0, 70, true, NOW);
     let for_other_incarnation = Attestation { for_incarnation: 73, ..attestation.clone() };
     assert_eq!(node_1.apply_attestation(NOW + 2 * SECOND, 0, 70, &for_other_incarnation), NOTHING_APPLIED);
     let before_start = Attestation { echo: NOW - Duration::from_micros(1), ..attestation.clone() };
@@ -165,7 +188,7 @@
     assert_eq!(node_1.apply_attestation(NOW + 2 * SECOND, 0, 70, &attestation), NOTHING_APPLIED);
     // Members of earlier versions get no attestation: they close the connection at a frame that they do not
     // know.
-    node_0.observe_heartbeat(1, 71, false, NOW + 3 * SECOND);
+    observe_heartbeat(&mut node_0, 1, 71, false, NOW + 3 * SECOND);
     assert_eq!(node_0.attest_to(NOW + 3 * SECOND, 1, StoreAccess::Available), None);
 }
 
@@ -173,7 +196,7 @@
 fn without_a_read_of_the_store_in_this_incarnation_no_worker_is_kept_alive() {
     let mut node_1 = CancellationLog::new(2, 1, 71, NOW, BOUNDS);
     let mut node_0 = CancellationLog::new(2, 0, 70, NOW, BOUNDS);
-    node_1.observe_heartbeat(0, 70, true, NOW);
+    observe_heartbeat(&mut node_1, 0, 70, true, NOW);
     exchange(NOW + 2 * SECOND, &mut node_0, &mut node_1, StoreAccess::Lost);
     assert_eq!(node_1.may_keep_alive_until(), Timestamp::ZERO);
 }
@@ -184,17 +207,132 @@
 #[test]
 fn more_cancellations_than_a_frame_holds_stop_attestations_until_retention_ends() {
     let (mut node_0, mut node_1) = two_nodes();
-    node_1.observe_heartbeat(0, 70, true, NOW);
-    node_0.observe_heartbeat(1, 71, true, NOW);
+    observe_heartbeat(&mut node_1, 0, 70, true, NOW);
+    observe_heartbeat(&mut node_0, 1, 71, true, NOW);
     let max_attested = limits::MAX_ATTESTED_CANCELLATIONS as u64;
     for job_id in 0..max_attested {
-        assert!(node_0.confirm(NOW + SECOND, JobId(job_id)).is_new);
+        assert!(node_0.confirm(NOW + SECOND, JobId(job_id), EpochReading::NONE).is_new);
     }
     assert!(node_0.attest_to(NOW + SECOND, 1, StoreAccess::Available).is_some(), "as many as a frame holds");
-    assert!(node_0.confirm(NOW + SECOND, JobId(max_attested)).is_new);
+    assert!(node_0.confirm(NOW + SECOND, JobId(max_attested), EpochReading::NONE).is_new);
     assert_eq!(node_0.attest_to(NOW + SECOND, 1, StoreAccess::Available), None);
     let known_until = node_1.known_until_by_members();
     node_0.apply_live_jobs(NOW + SECOND + RETENTION, NOW + SECOND + RETENTION, false, &[], &[]);
     assert!(node_0.attest_to(NOW + SECOND + RETENTION, 1, StoreAccess::Available).is_some());
     assert_eq!(node_1.known_until_by_members(), known_until, "nothing was attested meanwhile");
 }
+
+/// How long a leaseholder may still pass on a start, as the confirming node counts it.
+fn relay_time() -> Duration {
+    limits::plus_clock_drift(limits::RELAY_TIMEOUT)
+}
+
+fn reading(requested_at: Timestamp, leader: EpochLeader) -> EpochReading {
+    EpochReading { requested_at, leader }
+}
+
+/// The logs of nodes 0 and 1 as of `NOW + 20 s`: node 0 may start tasks under the promise of node 1.
+fn node_0_starts_under_promise() -> (CancellationLog, CancellationLog) {
+    let (mut node_0, mut node_1) = two_nodes();
+    for log in [&mut node_0, &mut node_1] {
+        log.apply_live_jobs(NOW + 20 * SECOND, NOW + 20 * SECOND, false, &[], &[]);
+    }
+    observe_heartbeat(&mut node_0, 1, 71, true, NOW + 20 * SECOND);
+    exchange(NOW + 20 * SECOND, &mut node_1, &mut node_0, StoreAccess::Available);
+    exchange(NOW + 20 * SECOND, &mut node_0, &mut node_1, StoreAccess::Available);
+    (node_0, node_1)
+}
+
+#[test]
+fn a_node_confirms_a_cancellation_unknown_to_the_leader_only_once_its_promise_to_the_leader_has_ended() {
+    let (node_0, mut node_1) = node_0_starts_under_promise();
+    let cancelled_at = NOW + 21 * SECOND;
+    let starts_end_at = node_0.may_start_tasks_until();
+    assert_eq!(starts_end_at, NOW + 20 * SECOND + limits::minus_clock_drift(START_PROMISE));
+    assert!(!node_1.confirm(cancelled_at, JobId(1), EpochReading::NONE).is_permitted);
+    let promise_ends_at = NOW + 20 * SECOND + limits::plus_clock_drift(START_PROMISE);
+    // A reading of the epoch that was requested before the commit proves nothing.
+    for (time, epoch) in [
+        (starts_end_at, reading(starts_end_at, EpochLeader::Member(0))),
+        (promise_ends_at, reading(NOW + 20 * SECOND, EpochLeader::LocalNode)),
+        (promise_ends_at + relay_time() - Duration::from_micros(1), EpochReading::NONE),
+    ] {
+        assert!(!node_1.confirm(time, JobId(1), epoch).is_permitted, "at {time}");
+    }
+    assert!(node_1.confirm(promise_ends_at + relay_time(), JobId(1), EpochReading::NONE).is_permitted);
+}
+
+#[test]
+fn a_cancellation_that_the_leader_has_not_acknowledged_is_confirmed_once_another_node_leads() {
+    let (_, mut node_1) = node_0_starts_under_promise();
+    let cancelled_at = NOW + 21 * SECOND;
+    assert!(!node_1.confirm(cancelled_at, JobId(1), EpochReading::NONE).is_permitted);
+    // Node 1 itself was elected.
+    let elected_at = cancelled_at + 5 * SECOND;
+    node_1.rule_out_starts(elected_at, reading(elected_at, EpochLeader::LocalNode));
+    assert!(!node_1.confirm(elected_at, JobId(1), EpochReading::NONE).is_permitted, "a start may be relayed");
+    assert!(node_1.confirm(elected_at + relay_time(), JobId(1), EpochReading::NONE).is_permitted);
+}
+
+#[test]
+fn a_promise_that_was_given_with_a_cancellation_does_not_hold_it_back() {
+    let (_, mut node_1) = node_0_starts_under_promise();
+    assert!(!node_1.confirm(NOW + 21 * SECOND, JobId(1), EpochReading::NONE).is_permitted);
+    // A heartbeat of node 0 gets through; the attestation with the cancellation, or its answer, is lost.
+    observe_heartbeat(&mut node_1, 0, 70, true, NOW + 30 * SECOND);
+    assert!(node_1.attest_to(NOW + 30 * SECOND, 0, StoreAccess::Available).is_some());
+    let promise_ends_at = NOW + 20 * SECOND + limits::plus_clock_drift(START_PROMISE);
+    node_1.rule_out_starts(promise_ends_at, EpochReading::NONE);
+    assert!(node_1.confirm(promise_ends_at + relay_time(), JobId(1), EpochReading::NONE).is_permitted);
+    // A later cancellation waits for the later promise.
+    let (first, second) = (JobId(1), JobId(2));
+    assert!(node_1.confirm(promise_ends_at + 2 * SECOND, first, EpochReading::NONE).is_permitted);
+    assert!(!node_1.confirm(promise_ends_at + 2 * SECOND, second, EpochReading::NONE).is_permitted);
+}
+
+#[test]
+fn a_restarted_node_keeps_the_promise_of_its_earlier_process() {
+    let restarted_at = NOW + 40 * SECOND;
+    let mut node_1 = CancellationLog::new(2, 1, 72, restarted_at, BOUNDS);
+    observe_heartbeat(&mut node_1, 0, 70, true, restarted_at);
+    let attestation = Attestation {
+        for_incarnation: 72,
+        echo: restarted_at + SECOND,
+        start_promise: START_PROMISE,
+        ..Attestation::default()
+    };
+    let _ = node_1.apply_attestation(restarted_at + 2 * SECOND, 0, 70, &attestation);
+    let leads = reading(restarted_at + 2 * SECOND, EpochLeader::Member(0));
+    let promise_ends_at = restarted_at + limits::plus_clock_drift(START_PROMISE);
+    for time in [restarted_at + 2 * SECOND, promise_ends_at - SECOND] {
+        assert!(!node_1.confirm(time, JobId(1), leads).is_permitted);
+    }
+    node_1.rule_out_starts(promise_ends_at, leads);
+    assert!(node_1.confirm(promise_ends_at + relay_time(), JobId(1), leads).is_permitted);
+}
+
+/// Version 3f677f9, in production, gives no attestations, makes no such promises and limits no starts.
+#[test]
+fn beside_an_earlier_version_a_leader_starts_tasks_only_shortly_after_a_reading_of_the_live_jobs() {
+    let (mut node_0, _) = two_nodes();
+    observe_heartbeat(&mut node_0, 1, 71, false, NOW + 2 * SECOND);
+    let after_reading = limits::minus_clock_drift(limits::START_TIME_AFTER_READING);
+    assert_eq!(node_0.may_start_tasks_until(), NOW + SECOND + after_reading);
+}
+
+#[test]
+fn a_cancellation_waits_for_a_leader_of_an_earlier_version_until_it_can_no_longer_lead() {
+    let (_, mut node_1) = two_nodes();
+    observe_heartbeat(&mut node_1, 0, 70, false, NOW + 20 * SECOND);
+    // In contact, and reaching the key-value store, it follows the changes there.
+    assert!(node_1.confirm(NOW + 21 * SECOND, JobId(1), EpochReading::NONE).is_permitted);
+    let cancelled_at = NOW + 20 * SECOND + limits::PEER_TIMEOUT;
+    let leads = reading(cancelled_at, EpochLeader::Member(0));
+    assert!(!node_1.confirm(cancelled_at, JobId(2), leads).is_permitted);
+    let autonomy = limits::plus_clock_drift(BOUNDS.longest_autonomy + limits::LOCK_LEASE);
+    assert!(
+        !node_1.confirm(cancelled_at + autonomy - Duration::from_micros(1), JobId(2), leads).is_permitted
+    );
+    node_1.rule_out_starts(cancelled_at + autonomy, leads);
+    assert!(node_1.confirm(cancelled_at + autonomy + relay_time(), JobId(2), leads).is_permitted);
+}
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -14,5 +14,6 @@
 
 pub mod cancellation_log;
 mod cancellation_log_member;
+mod own_confirmations;
 pub mod renewal;
 pub mod shard;
--- a/src/limits/election.rs
+++ b/src/limits/election.rs
@@ -52,6 +52,21 @@
     from_seconds(cancel_s - lease_s).saturating_sub(LOCK_LEASE + LEASE_MARGIN + SECOND)
 }
 
+/// How long users repeat a request that was not decided (PROTOCOL, submissions and cancellations).
+pub const USER_RETRY_TIME: Duration = Duration::from_secs(60);
+/// How long a leader may start tasks after it sent the request that last read the live jobs. It reads them once
+/// a second; the rest allows for slow answers of the key-value store.
+pub const START_TIME_AFTER_READING: Duration = LOCK_LEASE;
+
+/// With each attestation a member promises that for this long, counted from the arrival of the receiver's
+/// heartbeat, it confirms no cancellation that the receiver may not know while it starts tasks. A leader that is
+/// cut off starts tasks for this long, and a cancellation that does not reach it waits for this long. Not longer
+/// than a leader may act without the lock, and at most a third of the time for which users repeat a request: the
+/// wait begins anew when the confirming node restarts, and it must still end while the user repeats.
+pub fn start_promise(cancel_s: f64, lease_s: f64) -> Duration {
+    (longest_autonomy(cancel_s, lease_s) + LOCK_LEASE).min(USER_RETRY_TIME / 3)
+}
+
 /// A member that has lost the key-value store promises in each attestation that for this long it will confirm
 /// no cancellation before the receiver has acknowledged it. The promise covers the time that a process is
 /// down after a crash (3 s or 6 s in the requirements), its start, and the wait for its next attestation.
--- a/src/peer/codec/mod.rs
+++ b/src/peer/codec/mod.rs
@@ -18,7 +18,7 @@
 use crate::leadership::{Message, Status};
 use crate::lease::cancellation_log::Attestation;
 use crate::scheduler::model::{JobId, JobSummary, TaskCounts};
-use crate::time::{to_micros, Timestamp};
+use crate::time::{to_micros, to_millis, Timestamp};
 use std::time::Duration;
 use zerocopy::little_endian::U64;
 use zerocopy::{FromBytes, IntoBytes};
@@ -131,7 +131,8 @@
         acknowledged: attestation.acknowledged.into(),
         last: attestation.last_number.into(),
         confirmations_suspended: attestation.confirmations_suspended.into(),
-        reserved: [0; 7],
+        reserved: [0; 3],
+        start_promise_ms: (to_millis(attestation.start_promise) as u32).into(),
     };
     body.extend_from_slice(line.as_bytes());
     for job_id in &attestation.cancelled {
@@ -235,6 +236,7 @@
         echo,
         incarnation_age: Duration::from_micros(line.incarnation_age.get()),
         confirmations_suspended: line.confirmations_suspended != 0,
+        start_promise: Duration::from_millis(line.start_promise_ms.get().into()),
         acknowledged: line.acknowledged.get(),
         last_number: line.last.get(),
         cancelled: cancelled.iter().map(|job_id| job_id.get()).collect(),
--- a/src/peer/layout.rs
+++ b/src/peer/layout.rs
@@ -84,7 +84,9 @@
     pub(super) acknowledged: U64,
     pub(super) last: U64,
     pub(super) confirmations_suspended: u8,
-    pub(super) reserved: [u8; 7],
+    pub(super) reserved: [u8; 3],
+    /// Zero from earlier versions, which ignore it.
+    pub(super) start_promise_ms: U32,
 }
 
 pub(super) const LEADER_HEARTBEAT: u8 = 1;
--- a/src/scheduler/heartbeat_responses.rs
+++ b/src/scheduler/heartbeat_responses.rs
@@ -109,7 +109,7 @@
         machine.commands.awaits_token_echo = came_without_relay && !machine.accounted_for;
         let mut task_commands: Vec<TaskCommand> = stop_commands(machine).collect();
         task_commands.extend(forget_commands(machine, &self.jobs));
-        if machine.accounted_for && machine.recorded {
+        if machine.accounted_for && machine.recorded && self.may_start_tasks {
             task_commands.extend(take_start_commands(machine));
             // A response may be lost on the way to the leaseholder that relays it. So its missing effect does
             // not show that the machine is unreachable.
--- a/tests/clusters/main.rs
+++ b/tests/clusters/main.rs
@@ -5,4 +5,5 @@
 
 mod cluster;
 mod faults;
+mod start_permission;
 mod teams;
--- a/tests/side_by_side.rs
+++ b/tests/side_by_side.rs
@@ -144,6 +144,7 @@
         echo: Timestamp::from_micros(11),
         incarnation_age: Duration::from_micros(13),
         confirmations_suspended: true,
+        start_promise: Duration::ZERO,
         acknowledged: 3,
         last_number: 5,
         cancelled: vec![412, 9],
@@ -163,6 +164,20 @@
     }
 }
 
+/// Earlier versions write zeros where the promise about starts lies now, and pass over what lies there.
+#[test]
+fn the_promise_about_starts_lies_in_bytes_that_earlier_versions_leave_zero() {
+    let promising = Attestation { start_promise: Duration::from_millis(20_000), ..attestation() };
+    let bytes = encode(SENDER, 6, &Payload::Attestation(promising.clone()));
+    assert!(matches!(decode(&bytes).unwrap().payload, Payload::Attestation(read) if read == promising));
+    let earlier = &frames(GOLDEN_WITH_GANGS)["attestation"];
+    let differing: Vec<usize> = (0..bytes.len()).filter(|at| bytes[*at] != earlier[*at]).collect();
+    // The last bytes before the two jobs.
+    let jobs_at = bytes.len() - 2 * size_of::<u64>();
+    let reserved = jobs_at - 7..jobs_at;
+    assert!(!differing.is_empty() && differing.iter().all(|at| reserved.contains(at)), "{differing:?}");
+}
+
 /// Production drops a connection at a kind that it does not know: a kind of its own, for those that have shown
 /// that they take it.
 #[test]
