Tell the members of a request to cancel while its transaction is under way

Change: when a user asks to cancel a live job, the node tells the members before it sends the transaction. They hold back starts of the job and acknowledge; the confirmation then waits for nobody. The transaction compares the epoch, since a leader elected in between may have read the job as live without knowing of the request. A held job is released by a reading of the live jobs 10 s later; the acknowledgement counts for 5 s. Earlier versions are told no requests. A node without peers sends the transaction as before.

--- a/crates/dockpier-simulation/examples/transcript/network/clients.rs
+++ b/crates/dockpier-simulation/examples/transcript/network/clients.rs
@@ -7,6 +7,7 @@
 use crate::{effects, words};
 use dockpier::fencing_token::FencingToken;
 use dockpier::leadership::FollowedLeader;
+use dockpier::lease::cancellation_log::CancellationCommit;
 use dockpier::lease::shard::ShardResponse;
 use dockpier::limits;
 use dockpier::scheduler::model::{Heartbeat, JobId, ReportedTask, TaskId, TaskStatus};
@@ -118,7 +119,8 @@
     /// A user is to be told that the job is cancelled, and asks again where it may not be told yet.
     pub(super) fn confirm(&mut self, node: usize, job_id: JobId) {
         let (now, incarnation) = (self.local(node), self.nodes[node].incarnation);
-        let outcome = self.nodes[node].leadership.request_confirmation(now, job_id);
+        let outcome =
+            self.nodes[node].leadership.request_confirmation(now, job_id, CancellationCommit::Unknown);
         let (news, may, actions) = (outcome.is_new, outcome.is_permitted, outcome.actions);
         let line = Line::new("confirm").with("node", node).with("job", job_id.0);
         self.note(line.with("news", news).with("may", may));
--- a/src/api/submissions.rs
+++ b/src/api/submissions.rs
@@ -4,6 +4,7 @@
 use super::refusal::{json, Impossible, Malformed, NotFound, Refusal, Unavailable};
 use super::{read_body, Api};
 use crate::http::wall_ms;
+use crate::lease::cancellation_log::CancellationCommit;
 use crate::limits;
 use crate::node_events::Event;
 use crate::protocol;
@@ -17,6 +18,7 @@
 use crate::storage::keys;
 use poem::http::StatusCode;
 use poem::{Body, Response};
+use std::sync::atomic::Ordering;
 use tracing::info;
 
 impl Api {
@@ -80,11 +82,14 @@
             let state = self.read_final_state(job_id).await?.ok_or(NotFound::Job)?;
             return Ok(json(StatusCode::OK, &state));
         };
-        match self.store_cancellation(job_id, LiveRecord::tasks_of(&live.value), live.version).await? {
+        let epoch_version = self.announce_cancellation(job_id);
+        let tasks = LiveRecord::tasks_of(&live.value);
+        match self.store_cancellation(job_id, tasks, live.version, epoch_version).await? {
             CommitOutcome::Committed { .. } => {
                 info!(job = %job_id, "cancelled");
                 let state = JobState::without_counts(job_id, JobStatus::Cancelled);
-                self.confirm_cancellation(job_id, &state).await?;
+                let commit = epoch_version.map_or(CancellationCommit::Unknown, CancellationCommit::InEpoch);
+                self.confirm_cancellation(job_id, &state, commit).await?;
                 self.cache_final_state(job_id, &state);
                 Ok(json(StatusCode::OK, &state))
             }
@@ -131,16 +136,30 @@
         Ok(self.store.commit(unknown, vec![record]).await)
     }
 
+    /// Lets the other controllers know that the job is about to be cancelled, so that the confirmation need not
+    /// wait for them once it is. Returns the version of the leader's epoch that the transaction must compare: a
+    /// leader that is elected in between may not know. `None`: they are informed after the commit.
+    fn announce_cancellation(&self, job_id: JobId) -> Option<u64> {
+        let epoch_version = self.health.epoch_version.load(Ordering::Relaxed);
+        if epoch_version == 0 {
+            return None;
+        }
+        let event = Event::CancellationRequested(job_id, epoch_version);
+        self.events.try_send(event).ok().map(|()| epoch_version)
+    }
+
     async fn store_cancellation(
         &self,
         job_id: JobId,
         tasks: u32,
         live_version: u64,
+        epoch_version: Option<u64>,
     ) -> Result<CommitOutcome, Refusal> {
         let live = keys::live_job(job_id);
         let record = FinalRecord { status: JobStatus::Cancelled, tasks };
         let record = write_change(&keys::final_state(job_id), record).map_err(Unavailable::Record)?;
-        let unchanged = vec![compare_version(&live, live_version)];
+        let mut unchanged = vec![compare_version(&live, live_version)];
+        unchanged.extend(epoch_version.map(|version| compare_version(keys::LEADER_EPOCH, version)));
         Ok(self.store.commit(unchanged, vec![record, remove_change(&live)]).await)
     }
 
@@ -170,18 +189,23 @@
         let done = if record.status == JobStatus::Done { record.tasks } else { 0 };
         let (done, running) = (Some(done), Some(0));
         let state = JobState { job_id: job_id.to_string(), status: record.status, done, running };
-        self.confirm_cancellation(job_id, &state).await?;
+        self.confirm_cancellation(job_id, &state, CancellationCommit::Unknown).await?;
         self.cache_final_state(job_id, &state);
         Ok(Some(state))
     }
 
     /// A cancellation is confirmed to its user only once every controller that may act without asking the state service
     /// has it (`lease::cancellation_log`).
-    async fn confirm_cancellation(&self, job_id: JobId, state: &JobState) -> Result<(), Unavailable> {
+    async fn confirm_cancellation(
+        &self,
+        job_id: JobId,
+        state: &JobState,
+        commit: CancellationCommit,
+    ) -> Result<(), Unavailable> {
         if state.status != JobStatus::Cancelled {
             return Ok(());
         }
-        let event = |reply_to| Event::Cancelled(job_id, reply_to);
+        let event = |reply_to| Event::Cancelled(job_id, commit, reply_to);
         match self.ask(event, limits::CONFIRMATION_TIMEOUT).await? {
             Some(()) => Ok(()),
             None => Err(Unavailable::CancellationUnconfirmed),
--- a/src/controller/health.rs
+++ b/src/controller/health.rs
@@ -107,6 +107,8 @@
         let outage_shared =
             self.leadership.has_peer_in_contact(now) && !self.leadership.peer_reaches_store(now);
         let health = &self.publication.health;
+        let epoch_version = self.leadership.known_epoch_version().unwrap_or_default();
+        health.epoch_version.store(epoch_version, Ordering::Relaxed);
         health.cut_off.store(store_lost && !outage_shared, Ordering::Relaxed);
         let healthy = !self.types.is_empty() && (!store_lost || outage_shared);
         if health.healthy.swap(healthy, Ordering::Relaxed) != healthy {
--- a/src/controller/heartbeat_routing.rs
+++ b/src/controller/heartbeat_routing.rs
@@ -264,7 +264,7 @@
         let may_start_tasks = self.leadership.may_start_tasks(now);
         let cancellations = &self.leadership.cancellations;
         task_commands.retain(|command| match command {
-            TaskCommand::Start { .. } => may_start_tasks && !cancellations.starts_ended_job(command),
+            TaskCommand::Start { .. } => may_start_tasks && !cancellations.forbids(command),
             TaskCommand::Stop { .. } | TaskCommand::Forget { .. } => true,
         });
     }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -26,12 +26,13 @@
 use crate::cloud::Cloud;
 use crate::http::{wall_ms, Clock, Http};
 use crate::leadership::Leadership;
+use crate::lease::cancellation_log::CancellationCommit;
 use crate::limits;
 use crate::node_events::{Event, HeartbeatReply, LiveJobsUpdate, Types};
 use crate::peer::{Payload, Received};
 use crate::protocol::workers::HeartbeatRequest;
 use crate::scheduler::model::JobId;
-use crate::scheduler::{Command, Config, Scheduler};
+use crate::scheduler::{Command, Config, Scheduler, StartPermission};
 use crate::settings::Settings;
 use crate::storage::key_value_store::KeyValueStore;
 use crate::storage::record_versions::RecordVersions;
@@ -164,7 +165,13 @@
                 let terminated = cancellations.apply_live_jobs(now, requested_at, complete, &added, &removed);
                 batch.remove_jobs(terminated);
             }
-            Event::Cancelled(job_id, reply) => self.handle_cancellation(now, job_id, reply, batch),
+            Event::CancellationRequested(job_id, epoch_version) => {
+                let actions = self.leadership.request_cancellation(now, job_id, epoch_version);
+                self.apply_actions(actions);
+            }
+            Event::Cancelled(job_id, commit, reply) => {
+                self.handle_cancellation(now, job_id, commit, reply, batch);
+            }
             Event::Store(response) => {
                 let actions = self.leadership.handle_store_response(now, response);
                 self.apply_actions(actions);
@@ -185,10 +192,11 @@
         &mut self,
         now: Timestamp,
         job_id: JobId,
+        commit: CancellationCommit,
         reply: oneshot::Sender<()>,
         batch: &mut Batch,
     ) {
-        let outcome = self.leadership.request_confirmation(now, job_id);
+        let outcome = self.leadership.request_confirmation(now, job_id, commit);
         self.apply_actions(outcome.actions);
         if outcome.is_new {
             batch.commands.push(Command::JobRemoved(job_id));
@@ -262,7 +270,10 @@
         let Some(scheduler) = &mut self.scheduler else { return };
         scheduler.record_others_may_have_renewed_until(self.leadership.others_kept_alive_until(now));
         scheduler.record_unreachable_nodes(now, self.leadership.unreachable_peers(now));
-        scheduler.record_start_permission(self.leadership.may_start_tasks(now));
+        scheduler.record_start_permission(StartPermission {
+            may_start_tasks: self.leadership.may_start_tasks(now),
+            held_jobs: self.leadership.cancellations.held_jobs().collect(),
+        });
         scheduler.time_of_day(now, wall_ms());
         let effects = scheduler.step(now, commands);
         self.publication.publish_summary(now, scheduler, &self.peers);
--- a/src/leadership/authority.rs
+++ b/src/leadership/authority.rs
@@ -41,6 +41,12 @@
         self.authority(now).is_some() && now + limits::AUTHORITY_MARGIN < starts_until
     }
 
+    /// Version of the epoch record as last read or written; None: not known, or this node has no peers, which then
+    /// need not be informed of requests to cancel.
+    pub fn known_epoch_version(&self) -> Option<u64> {
+        Some(self.lock.epoch_version()).filter(|version| *version > 0 && !self.peers.is_empty())
+    }
+
     /// The node that the epoch record names, by the last reading. A node that has authority to lead knows that
     /// the record names it.
     pub(super) fn epoch_reading(&self, now: Timestamp) -> EpochReading {
--- a/src/leadership/messages.rs
+++ b/src/leadership/messages.rs
@@ -4,7 +4,9 @@
 use super::role::Role;
 use super::{Action, AttestationOutcome, ConfirmationOutcome, FollowedLeader, Leadership, Message, Status};
 use crate::fencing_token::FencingToken;
-use crate::lease::cancellation_log::{Attestation, ConfirmOutcome, MemberHeartbeat, StoreAccess};
+use crate::lease::cancellation_log::{
+    Attestation, CancellationCommit, ConfirmOutcome, MemberHeartbeat, StoreAccess,
+};
 use crate::limits;
 use crate::scheduler::model::JobId;
 use crate::time::Timestamp;
@@ -33,10 +35,26 @@
         AttestationOutcome { cancelled_jobs: applied.cancelled_jobs, actions }
     }
 
+    /// Records that a user asks to cancel a job, right before the transaction that cancels it is sent, and informs
+    /// the peers. `epoch_version`: the version of the epoch record that the transaction compares.
+    #[must_use = "the actions are to be carried out"]
+    pub fn request_cancellation(&mut self, now: Timestamp, job_id: JobId, epoch_version: u64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.cancellations.request(now, job_id, epoch_version) {
+            self.peers.others().for_each(|node| self.attest(now, node, &mut actions));
+        }
+        actions
+    }
+
     /// Records a cancellation that is about to be confirmed to a user, and returns whether it may be
     /// confirmed now. The peers are informed at once.
-    pub fn request_confirmation(&mut self, now: Timestamp, job_id: JobId) -> ConfirmationOutcome {
-        let outcome = self.confirm(now, job_id);
+    pub fn request_confirmation(
+        &mut self,
+        now: Timestamp,
+        job_id: JobId,
+        commit: CancellationCommit,
+    ) -> ConfirmationOutcome {
+        let outcome = self.confirm(now, job_id, commit);
         let mut actions = Vec::new();
         if outcome.is_new || !outcome.is_permitted {
             self.peers.others().for_each(|node| self.attest(now, node, &mut actions));
@@ -46,12 +64,12 @@
 
     /// Whether a cancellation that was recorded may be confirmed to its user by now.
     pub fn is_confirmation_permitted(&mut self, now: Timestamp, job_id: JobId) -> bool {
-        self.confirm(now, job_id).is_permitted
+        self.confirm(now, job_id, CancellationCommit::Unknown).is_permitted
     }
 
-    fn confirm(&mut self, now: Timestamp, job_id: JobId) -> ConfirmOutcome {
+    fn confirm(&mut self, now: Timestamp, job_id: JobId, commit: CancellationCommit) -> ConfirmOutcome {
         let epoch = self.epoch_reading(now);
-        self.cancellations.confirm(now, job_id, epoch)
+        self.cancellations.confirm(now, job_id, commit, epoch)
     }
 
     fn attest(&mut self, now: Timestamp, to: usize, actions: &mut Vec<Action>) {
--- a/src/leadership/tests/cluster.rs
+++ b/src/leadership/tests/cluster.rs
@@ -37,6 +37,8 @@
     /// When it last read the live jobs, on its clock; zero: not since its process started or it was last
     /// elected. A leader has loaded its state once it has read them.
     pub(super) jobs_read_at: Timestamp,
+    /// When it was last elected, on its clock; zero: not since its process started.
+    pub(super) term_began_at: Timestamp,
     /// Whether it runs an earlier release, which gives no attestations.
     pub(super) is_earlier_release: bool,
 }
@@ -83,6 +85,8 @@
     /// than four are live. Tests without workers set it too: only nodes that read the live jobs know up to
     /// when they know every cancellation, on which authority without the lock lease depends.
     pub(super) mean_steps_between_jobs: u32,
+    /// The last job that a user asked to cancel.
+    pub(super) last_job_to_cancel: JobId,
     /// Cancelled jobs, and when a node committed the cancellation, in true time.
     pub(super) cancelled: BTreeMap<JobId, Timestamp>,
     /// Cancelled jobs, and when the cancellation was confirmed to the user, in true time.
@@ -121,6 +125,7 @@
             workers_report_to_peers_only: false,
             workers: Vec::new(),
             mean_steps_between_jobs: 0,
+            last_job_to_cancel: JobId(0),
             cancelled: BTreeMap::new(),
             confirmed: BTreeMap::new(),
             expired_leases: 0,
@@ -157,6 +162,7 @@
             store_answered_at: Timestamp::ZERO,
             next_job_read_at: Timestamp::ZERO,
             jobs_read_at: Timestamp::ZERO,
+            term_began_at: Timestamp::ZERO,
             is_earlier_release: self.nodes.get(node).is_some_and(|node| node.is_earlier_release),
         }
     }
--- a/src/lease/cancellation_log.rs
+++ b/src/lease/cancellation_log.rs
@@ -28,7 +28,8 @@
 //!
 //! A node confirms a cancellation once all other members know it, or once those that do not know it can start no
 //! task of the job: by the key-value store another node leads, or both times have passed for the leader, and no
-//! leaseholder can still pass on an earlier start.
+//! leaseholder can still pass on an earlier start. So that a confirmation need not wait for the members, they
+//! learn of a user's request while its transaction is under way, and hold back starts of the job.
 
 pub use super::cancellation_log_member::MemberHeartbeat;
 pub use super::own_confirmations::{EpochLeader, EpochReading};
@@ -65,6 +66,9 @@
     pub last_number: u64,
     /// Job ids of the sender's confirmations up to `last_number` that the receiver has not acknowledged.
     pub cancelled: Vec<u64>,
+    /// Job ids of the requests to cancel up to `last_number` that the receiver has not acknowledged. Their
+    /// transactions may be under way.
+    pub requested: Vec<u64>,
 }
 
 /// Durations that follow from the settings: how long a node may act without learning of cancellations, and
@@ -91,6 +95,16 @@
     Lost,
 }
 
+/// Who carried out the transaction that cancelled a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CancellationCommit {
+    /// This node, after [`CancellationLog::request`], on condition that the epoch record still had this version:
+    /// no leader was elected in between.
+    InEpoch(u64),
+    /// Another node, or not known, or without that condition.
+    Unknown,
+}
+
 /// The result of a request to confirm a cancellation to a user.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[must_use = "a cancellation may be confirmed only where this permits it"]
@@ -135,6 +149,9 @@
     own_confirmations: OwnConfirmations,
     /// Jobs that have ended, by any source, and when this node learnt it.
     terminated: HashMap<JobId, Timestamp>,
+    /// Jobs that a user asked to cancel while this node did not know whether they were cancelled, and when it
+    /// last learnt of such a request: it starts none of their tasks.
+    held_jobs: HashMap<JobId, Timestamp>,
     /// The live jobs as last read, without those that are known to have ended.
     live: HashSet<JobId>,
     /// When the request was sent that last read `live`; [`Timestamp::ZERO`]: not read in this incarnation.
@@ -160,6 +177,7 @@
             members: vec![Member::new(now, bounds.start_promise); members],
             own_confirmations: OwnConfirmations::default(),
             terminated: HashMap::new(),
+            held_jobs: HashMap::new(),
             live: HashSet::new(),
             store_read_at: Timestamp::ZERO,
         }
@@ -218,6 +236,11 @@
         self.terminated.contains_key(&job_id)
     }
 
+    /// Jobs that a user asked to cancel, none of whose tasks may start.
+    pub fn held_jobs(&self) -> impl Iterator<Item = JobId> + '_ {
+        self.held_jobs.keys().copied()
+    }
+
     /// Whether the job is among the live jobs as last read.
     pub fn is_live(&self, job_id: JobId) -> bool {
         self.live.contains(&job_id)
@@ -238,7 +261,7 @@
         Some(stops)
     }
 
-    /// The commands of a response to the heartbeat, without starts of tasks of ended jobs, and with the missing
+    /// The commands of a response to the heartbeat, without the starts that [`Self::forbids`], and with the missing
     /// stop commands for such tasks added. A start may have been on its way from the leader while the job was
     /// cancelled; nothing may start once the cancellation is confirmed to its user.
     pub fn with_cancellations_applied(
@@ -246,7 +269,7 @@
         mut task_commands: Vec<TaskCommand>,
         heartbeat: &Heartbeat,
     ) -> Vec<TaskCommand> {
-        task_commands.retain(|command| !self.starts_ended_job(command));
+        task_commands.retain(|command| !self.forbids(command));
         let terminated = |task: &&ReportedTask| self.is_terminated(task.id.job_id) && is_alive(task);
         for task in heartbeat.tasks.iter().filter(terminated) {
             if !task_commands.iter().any(|command| stops_task(command, task)) {
@@ -256,10 +279,12 @@
         task_commands
     }
 
-    /// Whether the command starts a task of a job that has ended.
-    pub fn starts_ended_job(&self, command: &TaskCommand) -> bool {
+    /// Whether the command starts a task of a job that has ended, or that a user asked to cancel.
+    pub fn forbids(&self, command: &TaskCommand) -> bool {
         match command {
-            TaskCommand::Start { id, .. } => self.is_terminated(id.job_id),
+            TaskCommand::Start { id, .. } => {
+                self.is_terminated(id.job_id) || self.held_jobs.contains_key(&id.job_id)
+            }
             TaskCommand::Stop { .. } | TaskCommand::Forget { .. } => false,
         }
     }
@@ -288,6 +313,9 @@
         // A member may have attested a cancellation that this reading does not show yet.
         self.live.retain(|job_id| !self.terminated.contains_key(job_id));
         self.store_read_at = self.store_read_at.max(requested_at);
+        // A cancellation that its sender confirms by the request was committed before this reading.
+        let hold = limits::CANCELLATION_REQUEST_HOLD;
+        self.held_jobs.retain(|_, held_at| requested_at < *held_at + hold);
         self.forget_old_cancellations(now);
         newly_terminated
     }
@@ -301,19 +329,45 @@
     /// Returns whether this is new: this node did not yet know that the job has ended.
     fn record_terminated(&mut self, now: Timestamp, job_id: JobId) -> bool {
         self.live.remove(&job_id);
+        self.held_jobs.remove(&job_id);
         self.terminated.insert(job_id, now).is_none()
     }
 
     // ---- confirmations and attestations ----
 
+    /// Records that a user asks to cancel the job, and that the transaction will be sent. The members learn of it
+    /// meanwhile, so that a confirmation need not wait for them afterwards. `epoch_version`: the version of the
+    /// epoch record that the transaction compares. Returns whether the members have to be informed.
+    pub fn request(&mut self, now: Timestamp, job_id: JobId, epoch_version: u64) -> bool {
+        let is_known = self.is_terminated(job_id);
+        if is_known || !self.own_confirmations.record_request(now, job_id, epoch_version) {
+            return false;
+        }
+        self.held_jobs.insert(job_id, now);
+        true
+    }
+
     /// Records that this node is about to confirm to a user that the job is cancelled. `epoch`: the last reading
-    /// of the epoch record.
-    pub fn confirm(&mut self, now: Timestamp, job_id: JobId, epoch: EpochReading) -> ConfirmOutcome {
+    /// of the epoch record. `commit`: who cancelled it.
+    pub fn confirm(
+        &mut self,
+        now: Timestamp,
+        job_id: JobId,
+        commit: CancellationCommit,
+        epoch: EpochReading,
+    ) -> ConfirmOutcome {
         let is_recorded = self.own_confirmations.of_job(job_id).is_some();
         if !is_recorded {
             let autonomy = self.max_keep_alive;
             let starts_possible_until = self.members.iter().map(|m| m.starts_possible_until(now, autonomy));
-            self.own_confirmations.record(now, job_id, starts_possible_until.collect());
+            let request_number = match commit {
+                CancellationCommit::InEpoch(version) => {
+                    self.own_confirmations.request_number(now, job_id, version)
+                }
+                CancellationCommit::Unknown => None,
+            };
+            let starts_possible_until = starts_possible_until.collect();
+            self.own_confirmations.record(now, job_id, request_number, starts_possible_until);
         }
         let is_new = self.record_terminated(now, job_id) || !is_recorded;
         self.rule_out_starts(now, epoch);
@@ -323,8 +377,7 @@
     fn is_confirmation_permitted(&self, now: Timestamp, job_id: JobId) -> bool {
         let Some(own) = self.own_confirmations.of_job(job_id) else { return false };
         let is_suspended = self.other_members().any(|member| !member.permits_confirmation(now, own.number));
-        let is_known_to_all =
-            || self.other_members().all(|member| member.knows_confirmation(now, own.number));
+        let is_known_to_all = || self.other_members().all(|member| member.knows_confirmation(now, own));
         !is_suspended && (is_known_to_all() || own.is_safe_from_starts(now))
     }
 
@@ -334,10 +387,9 @@
         let acknowledged_by_all = self.other_members().map(Member::acknowledged).min().unwrap_or(u64::MAX);
         let (members, local_node) = (&self.members, self.local_node);
         for own in self.own_confirmations.after_mut(acknowledged_by_all) {
-            let number = own.number;
-            let knows_cancellation =
-                |node: usize| node == local_node || members[node].knows_confirmation(now, number);
-            own.rule_out_starts(now, epoch, knows_cancellation);
+            let known_by: Vec<bool> =
+                members.iter().map(|member| member.knows_confirmation(now, own)).collect();
+            own.rule_out_starts(now, epoch, |node| node == local_node || known_by[node]);
         }
     }
 
@@ -360,7 +412,14 @@
         let missing = self.own_confirmations.after(acknowledged);
         let cancelled: Vec<u64> =
             missing.map(|own| own.job_id.0).take(limits::MAX_ATTESTED_CANCELLATIONS + 1).collect();
-        if cancelled.len() > limits::MAX_ATTESTED_CANCELLATIONS {
+        let last_number = self.own_confirmations.last_number();
+        let requested: Vec<u64> = if member.accepts_requests(last_number) {
+            let requests = self.own_confirmations.requests_after(now, acknowledged);
+            requests.map(|own| own.job_id.0).take(limits::MAX_ATTESTED_CANCELLATIONS + 1).collect()
+        } else {
+            Vec::new()
+        };
+        if cancelled.len() + requested.len() > limits::MAX_ATTESTED_CANCELLATIONS {
             // Not reached within the key-value store's limits: committing so many cancellations would take
             // minutes.
             return None;
@@ -370,8 +429,8 @@
         }
         member.give_start_promise(self.start_promise);
         let incarnation_age = now.since(self.started_at);
-        let (start_promise, last_number) = (self.start_promise, self.own_confirmations.last_number());
-        Some(Attestation { incarnation_age, start_promise, last_number, cancelled, ..attestation })
+        let start_promise = self.start_promise;
+        Some(Attestation { incarnation_age, start_promise, last_number, cancelled, requested, ..attestation })
     }
 
     /// Applies an attestation of the member `from`. `incarnation`: that of the sending process.
@@ -394,6 +453,11 @@
             return AppliedAttestation::default();
         }
         let has_new = member.apply(now, attestation, self.store_read_at);
+        for job_id in attestation.requested.iter().map(|job_id| JobId(*job_id)) {
+            if !self.is_terminated(job_id) {
+                self.held_jobs.insert(job_id, now);
+            }
+        }
         let cancelled = attestation.cancelled.iter().map(|job_id| JobId(*job_id));
         let cancelled_jobs = cancelled.filter(|job_id| self.record_terminated(now, *job_id)).collect();
         AppliedAttestation { cancelled_jobs, has_new }
--- a/src/lease/cancellation_log_member.rs
+++ b/src/lease/cancellation_log_member.rs
@@ -5,6 +5,7 @@
 //! Owned by [`super::cancellation_log::CancellationLog`], which is the only caller.
 
 use super::cancellation_log::Attestation;
+use super::own_confirmations::OwnConfirmation;
 use crate::limits::{self, minus_clock_drift, plus_clock_drift};
 use crate::time::Timestamp;
 use std::time::Duration;
@@ -51,7 +52,10 @@
     /// Until when the member has promised the same to this node.
     start_promise_received_until: Timestamp,
     /// Its current incarnation starts tasks only under such promises, or after a recent reading of the live jobs.
+    /// It also accepts requests to cancel.
     limits_starts: bool,
+    /// Attestations to the member left out the requests up to this number: it was not known to accept them.
+    requests_left_out_until: u64,
 }
 
 impl Member {
@@ -86,14 +90,26 @@
         self.sends_no_attestations || now >= self.suspended_until || self.acknowledged_by_member >= number
     }
 
-    /// Whether the member knows this node's confirmation `number`. A member that sends no attestations follows
+    /// Whether the member starts no task of the job because it knows this confirmation, or the user's request that
+    /// led to it. A member that sends no attestations follows
     /// the changes in the key-value store, so it is taken to know the cancellation while it is in contact and
     /// reaches the store; nothing proves that it does.
-    pub(super) fn knows_confirmation(&self, now: Timestamp, number: u64) -> bool {
+    pub(super) fn knows_confirmation(&self, now: Timestamp, own: &OwnConfirmation) -> bool {
         let follows_store = self.sends_no_attestations
             && self.reaches_store
             && now < self.heartbeat_at + limits::PEER_TIMEOUT;
-        follows_store || self.acknowledged_by_member >= number
+        let acknowledged = self.acknowledged_by_member;
+        let knows_request = |number: u64| number > self.requests_left_out_until && acknowledged >= number;
+        follows_store || acknowledged >= own.number || own.request_number.is_some_and(knows_request)
+    }
+
+    /// Whether requests to cancel may be included in an attestation to the member that covers the numbers up to
+    /// `last_number`.
+    pub(super) fn accepts_requests(&mut self, last_number: u64) -> bool {
+        if !self.limits_starts {
+            self.requests_left_out_until = last_number;
+        }
+        self.limits_starts
     }
 
     /// Until when the member may start tasks of a job whose cancellation was committed before `now`, if it does
--- a/src/lease/own_confirmations.rs
+++ b/src/lease/own_confirmations.rs
@@ -1,5 +1,6 @@
 //! The cancellations that this node confirmed, or is about to confirm, to users, and whether a member that does
-//! not know one of them may still start its tasks.
+//! not know one of them may still start its tasks. Also the users' requests to cancel a job, of which the members
+//! learn while the transaction is under way.
 //!
 //! Owned by [`super::cancellation_log::CancellationLog`], which is the only caller.
 
@@ -39,11 +40,25 @@
         EpochReading { requested_at: Timestamp::ZERO, leader: EpochLeader::Unknown };
 }
 
+/// A user's request to cancel a job, of which the other members learn before it is carried out.
+#[derive(Debug)]
+pub(super) struct OwnRequest {
+    /// Number in the same sequence as the confirmations.
+    pub(super) number: u64,
+    requested_at: Timestamp,
+    pub(super) job_id: JobId,
+    /// Version of the epoch record that its transaction compares.
+    epoch_version: u64,
+}
+
 /// A cancellation that this incarnation confirmed, or is about to confirm, to a user.
 #[derive(Debug)]
 pub(super) struct OwnConfirmation {
     /// Consecutive number, from one in each incarnation.
     pub(super) number: u64,
+    /// Number of the user's request that led to it, if the members that acknowledged the request start no task
+    /// of the job.
+    pub(super) request_number: Option<u64>,
     /// When it was recorded here. Its transaction was committed before.
     pub(super) recorded_at: Timestamp,
     pub(super) job_id: JobId,
@@ -55,6 +70,12 @@
     starts_ruled_out_at: Option<Timestamp>,
 }
 
+impl OwnRequest {
+    fn is_valid(&self, now: Timestamp) -> bool {
+        now < self.requested_at + limits::CANCELLATION_REQUEST_VALIDITY
+    }
+}
+
 impl OwnConfirmation {
     /// Records at `now` whether any leader may still start tasks of the job. `knows_cancellation` tells it of
     /// the member with a number.
@@ -89,17 +110,19 @@
     }
 }
 
-/// The cancellations that this incarnation confirmed, or is about to confirm, to users.
+/// The cancellations that this incarnation confirmed, or is about to confirm, to users, and the requests to cancel.
 #[derive(Debug, Default)]
 pub(super) struct OwnConfirmations {
     /// The oldest first.
     confirmations: VecDeque<OwnConfirmation>,
-    /// Number of the last confirmation; zero: none.
+    /// The oldest first.
+    requests: VecDeque<OwnRequest>,
+    /// Number of the last confirmation or request; zero: none.
     last_number: u64,
 }
 
 impl OwnConfirmations {
-    /// Number of the last confirmation; zero: none.
+    /// Number of the last confirmation or request; zero: none.
     pub(super) fn last_number(&self) -> u64 {
         self.last_number
     }
@@ -124,11 +147,49 @@
         self.confirmations.iter_mut().rev().take_while(move |own| own.number > number)
     }
 
+    /// Requests with a number above `number` that are still valid, the oldest first.
+    pub(super) fn requests_after(&self, now: Timestamp, number: u64) -> impl Iterator<Item = &OwnRequest> {
+        self.requests.iter().filter(move |own| own.number > number && own.is_valid(now))
+    }
+
+    /// Records a user's request to cancel a job. False: one with the same transaction is still valid.
+    pub(super) fn record_request(&mut self, now: Timestamp, job_id: JobId, epoch_version: u64) -> bool {
+        while self.requests.front().is_some_and(|own| !own.is_valid(now)) {
+            self.requests.pop_front();
+        }
+        if self.request_number(now, job_id, epoch_version).is_some() {
+            return false;
+        }
+        self.last_number += 1;
+        self.requests.push_back(OwnRequest {
+            number: self.last_number,
+            requested_at: now,
+            job_id,
+            epoch_version,
+        });
+        true
+    }
+
+    /// Number of the request to cancel this job whose transaction compares this version of the epoch record, if it
+    /// is still valid.
+    pub(super) fn request_number(&self, now: Timestamp, job_id: JobId, epoch_version: u64) -> Option<u64> {
+        let is_wanted = |own: &&OwnRequest| (own.job_id, own.epoch_version) == (job_id, epoch_version);
+        let request = self.requests.iter().find(|own| is_wanted(own) && own.is_valid(now));
+        request.map(|own| own.number)
+    }
+
     /// Records a cancellation that was not recorded before.
-    pub(super) fn record(&mut self, now: Timestamp, job_id: JobId, starts_possible_until: Vec<Timestamp>) {
+    pub(super) fn record(
+        &mut self,
+        now: Timestamp,
+        job_id: JobId,
+        request_number: Option<u64>,
+        starts_possible_until: Vec<Timestamp>,
+    ) {
         self.last_number += 1;
         self.confirmations.push_back(OwnConfirmation {
             number: self.last_number,
+            request_number,
             recorded_at: now,
             job_id,
             starts_possible_until,
--- a/src/limits/election.rs
+++ b/src/limits/election.rs
@@ -67,6 +67,14 @@
     (longest_autonomy(cancel_s, lease_s) + LOCK_LEASE).min(USER_RETRY_TIME / 3)
 }
 
+/// A member that learns of a user's request to cancel a job starts none of its tasks for at least this long, and
+/// until a later reading of the live jobs shows that the job was not cancelled. Covers the time limit of the
+/// transaction that cancels it, several times over.
+pub const CANCELLATION_REQUEST_HOLD: Duration = Duration::from_secs(10);
+/// The transaction must have been answered within this time for the members' acknowledgements of the request to
+/// count: well within their [`CANCELLATION_REQUEST_HOLD`].
+pub const CANCELLATION_REQUEST_VALIDITY: Duration = Duration::from_secs(5);
+
 /// A member that has lost the key-value store promises in each attestation that for this long it will confirm
 /// no cancellation before the receiver has acknowledged it. The promise covers the time that a process is
 /// down after a crash (3 s or 6 s in the requirements), its start, and the wait for its next attestation.
--- a/src/node_events.rs
+++ b/src/node_events.rs
@@ -6,6 +6,7 @@
 
 use crate::fencing_token::FencingToken;
 use crate::leadership::StoreResponse;
+use crate::lease::cancellation_log::CancellationCommit;
 use crate::lease::renewal::RenewalCounts;
 use crate::peer::Received;
 use crate::protocol::workers::{HeartbeatRequest, HeartbeatResponse};
@@ -14,7 +15,7 @@
 use crate::scheduler::Command;
 use crate::time::Timestamp;
 use std::collections::{BTreeMap, HashMap};
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::Arc;
 use tokio::sync::oneshot;
 
@@ -30,6 +31,8 @@
     pub healthy: AtomicBool,
     /// The state service does not answer this node, and may answer others.
     pub cut_off: AtomicBool,
+    /// Version of the leader's epoch, for cancellations; zero: not known, or not needed.
+    pub epoch_version: AtomicU64,
 }
 
 /// An entry of the controller's queue. The queue is bounded: requests of users and workers are refused when it is
@@ -43,8 +46,10 @@
     Peer(Received),
     /// The live jobs were read.
     LiveJobs(LiveJobsUpdate),
+    /// A user asks to cancel a live job. The transaction is sent next; it compares this version of the epoch.
+    CancellationRequested(JobId, u64),
     /// A user's cancellation was committed. The reply is sent once it may be confirmed to the user.
-    Cancelled(JobId, oneshot::Sender<()>),
+    Cancelled(JobId, CancellationCommit, oneshot::Sender<()>),
     /// The state service's response to a request of leadership.
     Store(StoreResponse),
     /// A command for the scheduler of this fencing token; dropped when another token is current.
--- a/src/peer/codec/mod.rs
+++ b/src/peer/codec/mod.rs
@@ -131,11 +131,12 @@
         acknowledged: attestation.acknowledged.into(),
         last: attestation.last_number.into(),
         confirmations_suspended: attestation.confirmations_suspended.into(),
-        reserved: [0; 3],
+        reserved: 0,
+        requested: (attestation.requested.len() as u16).into(),
         start_promise_ms: (to_millis(attestation.start_promise) as u32).into(),
     };
     body.extend_from_slice(line.as_bytes());
-    for job_id in &attestation.cancelled {
+    for job_id in attestation.cancelled.iter().chain(&attestation.requested) {
         body.extend_from_slice(U64::new(*job_id).as_bytes());
     }
 }
@@ -230,7 +231,10 @@
 
 fn read_attestation(echo: Timestamp, body: &[u8]) -> Result<Attestation, FrameError> {
     let (line, rest) = AttestationLine::ref_from_prefix(body).map_err(|_| FrameError::AttestationTooShort)?;
-    let cancelled = <[U64]>::ref_from_bytes(rest).map_err(|_| FrameError::WrongLength)?;
+    let job_ids = <[U64]>::ref_from_bytes(rest).map_err(|_| FrameError::WrongLength)?;
+    let cancelled_count = job_ids.len().checked_sub(line.requested.get().into());
+    let (cancelled, requested) = job_ids.split_at(cancelled_count.ok_or(FrameError::WrongLength)?);
+    let numbers = |job_ids: &[U64]| job_ids.iter().map(|job_id| job_id.get()).collect();
     Ok(Attestation {
         for_incarnation: line.for_incarnation.get(),
         echo,
@@ -239,6 +243,7 @@
         start_promise: Duration::from_millis(line.start_promise_ms.get().into()),
         acknowledged: line.acknowledged.get(),
         last_number: line.last.get(),
-        cancelled: cancelled.iter().map(|job_id| job_id.get()).collect(),
+        cancelled: numbers(cancelled),
+        requested: numbers(requested),
     })
 }
--- a/src/peer/layout.rs
+++ b/src/peer/layout.rs
@@ -84,7 +84,10 @@
     pub(super) acknowledged: U64,
     pub(super) last: U64,
     pub(super) confirmations_suspended: u8,
-    pub(super) reserved: [u8; 3],
+    pub(super) reserved: u8,
+    /// How many of the numbers that follow, at their end, are of jobs that users asked to cancel. Zero from and to
+    /// earlier versions.
+    pub(super) requested: U16,
     /// Zero from earlier versions, which ignore it.
     pub(super) start_promise_ms: U32,
 }
--- a/src/scheduler/heartbeat_responses.rs
+++ b/src/scheduler/heartbeat_responses.rs
@@ -11,7 +11,7 @@
 use super::{Effect, Scheduler};
 use crate::lease::renewal::LeaseRenewal;
 use crate::time::Timestamp;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use tracing::debug;
 
@@ -47,13 +47,16 @@
         .map(|(exited, _)| TaskCommand::Forget { id: exited.task, attempt: exited.attempt })
 }
 
-/// Start commands that have not been sent. Marks each as sent in the response to the newest heartbeat.
-fn take_start_commands(machine: &mut Machine) -> impl Iterator<Item = TaskCommand> + '_ {
+/// Start commands that have not been sent, without those of `held_jobs`. Marks each as sent in the response to the
+/// newest heartbeat.
+fn take_start_commands<'a>(
+    machine: &'a mut Machine,
+    held_jobs: &'a BTreeSet<JobId>,
+) -> impl Iterator<Item = TaskCommand> + 'a {
     let newest = machine.heartbeats.newest;
-    let unsent = machine
-        .tasks
-        .iter_mut()
-        .filter(|(_, placement)| placement.is_unsent() && placement.stopping.is_none());
+    let unsent = machine.tasks.iter_mut().filter(|(id, placement)| {
+        placement.is_unsent() && placement.stopping.is_none() && !held_jobs.contains(&id.job_id)
+    });
     unsent.map(move |(id, placement)| {
         placement.start_sent_in_response_to = Some(newest);
         TaskCommand::Start { id: *id, attempt: placement.attempt }
@@ -109,8 +112,8 @@
         machine.commands.awaits_token_echo = came_without_relay && !machine.accounted_for;
         let mut task_commands: Vec<TaskCommand> = stop_commands(machine).collect();
         task_commands.extend(forget_commands(machine, &self.jobs));
-        if machine.accounted_for && machine.recorded && self.may_start_tasks {
-            task_commands.extend(take_start_commands(machine));
+        if machine.accounted_for && machine.recorded && self.start_permission.may_start_tasks {
+            task_commands.extend(take_start_commands(machine, &self.start_permission.held_jobs));
             // A response may be lost on the way to the leaseholder that relays it. So its missing effect does
             // not show that the machine is unreachable.
             if came_without_relay {
--- a/src/scheduler/messages.rs
+++ b/src/scheduler/messages.rs
@@ -80,6 +80,15 @@
     pub age_s: f64,
 }
 
+/// Which tasks a leader may start now.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StartPermission {
+    /// Whether it may start any (`Leadership::may_start_tasks`).
+    pub may_start_tasks: bool,
+    /// Jobs that a user asked to cancel: none of their tasks may start.
+    pub held_jobs: BTreeSet<JobId>,
+}
+
 /// Outcome of a write to the state service or a request to the cloud.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestOutcome {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -36,7 +36,9 @@
 mod usage;
 
 use crate::time::Timestamp;
-pub use messages::{Command, Config, Effect, HeartbeatOutcome, ListedMachine, RequestOutcome, StoredJob};
+pub use messages::{
+    Command, Config, Effect, HeartbeatOutcome, ListedMachine, RequestOutcome, StartPermission, StoredJob,
+};
 pub use model::{StoredMachine, TaskCommand};
 pub use stale_heartbeats::IgnoredHeartbeats;
 
@@ -88,8 +90,7 @@
 
     // Decisions.
     rounds: RoundSchedule,
-    /// Whether this leader may start tasks now (`Leadership::may_start_tasks`).
-    may_start_tasks: bool,
+    start_permission: StartPermission,
     /// Decision steps of all rounds and scaling plans so far. Tests bound them instead of run time.
     pub decision_steps: u64,
     /// Number of attempts that this leader has started.
@@ -151,7 +152,7 @@
             autoscaler: Autoscaler::new(now),
             drains: Drains::default(),
             rounds: RoundSchedule::new(),
-            may_start_tasks: true,
+            start_permission: StartPermission { may_start_tasks: true, held_jobs: BTreeSet::new() },
             decision_steps: 0,
             attempts_started: 0,
             mean_job_work: 0.0,
@@ -183,13 +184,14 @@
         self.peers.record_unreachable(now, nodes);
     }
 
-    /// Records whether this leader may start tasks (`Leadership::may_start_tasks`). While it may not, it decides
-    /// nothing about starts, and its responses to heartbeats contain none.
-    pub fn record_start_permission(&mut self, may_start_tasks: bool) {
-        if self.may_start_tasks != may_start_tasks {
+    /// Records which tasks this leader may start. While it may start none, it decides nothing about starts. Its
+    /// responses to heartbeats contain only starts that it may send.
+    pub fn record_start_permission(&mut self, permission: StartPermission) {
+        let StartPermission { may_start_tasks, .. } = permission;
+        if self.start_permission.may_start_tasks != may_start_tasks {
             info!(may_start_tasks, "permission to start tasks changed: knowledge of cancellations");
         }
-        self.may_start_tasks = may_start_tasks;
+        self.start_permission = permission;
     }
 
     /// Applies a batch of commands at `now`, makes the decisions that are due, and returns the effects to
@@ -202,7 +204,7 @@
         }
         self.expire_leases();
         if self.loaded {
-            if self.may_start_tasks && self.rounds.begin_if_due(self.now) {
+            if self.start_permission.may_start_tasks && self.rounds.begin_if_due(self.now) {
                 self.run_decision_round();
             }
             self.send_due_writes();
@@ -218,7 +220,7 @@
     /// Responds to the heartbeats that have changed something, unless a round is still requested: that round
     /// may start tasks on their machines.
     fn respond_to_pending_heartbeats(&mut self) {
-        if self.rounds.is_requested() && self.loaded && self.may_start_tasks {
+        if self.rounds.is_requested() && self.loaded && self.start_permission.may_start_tasks {
             return;
         }
         for PendingHeartbeat { response_id, machine, renewal } in std::mem::take(&mut self.pending_heartbeats)
