--- a/src/lease/cancellation_log_member.rs
+++ b/src/lease/cancellation_log_member.rs
@@ -4,7 +4,7 @@
 //!
 //! Owned by [`super::cancellation_log::CancellationLog`], which is the only caller.
 
-use super::cancellation_log::Attestation;
+use super::attestation::Attestation;
 use super::own_confirmations::OwnConfirmation;
 use crate::limits::{self, minus_clock_drift, plus_clock_drift};
 use crate::time::Timestamp;
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -12,6 +12,7 @@
 //! The controller's heartbeat routing owns one [`shard::Shard`]. [`crate::leadership`] owns the
 //! [`cancellation_log::CancellationLog`]. The scheduler keeps a [`renewal::LastRenewal`] for each machine.
 
+mod attestation;
 pub mod cancellation_log;
 mod cancellation_log_member;
 mod own_confirmations;
