Bound the wait for a leader that the confirming process has not heard

A node that restarts outside a zone that is cut off can't know whether the leader inside limits its starts, and waited as long as a leader of an earlier version may lead. With a cancel_s of some 100 s that outlasts the 60 s for which users repeat a cancellation. The new test fails without the bound.

--- a/src/lease/cancellation_log_member.rs
+++ b/src/lease/cancellation_log_member.rs
@@ -116,8 +116,14 @@
     /// not learn of it. `unlimited_autonomy`: how long a member that does not limit its starts may lead without
     /// knowing the cancellation.
     pub(super) fn starts_possible_until(&self, now: Timestamp, unlimited_autonomy: Duration) -> Timestamp {
-        let after_reading =
-            if self.limits_starts { limits::START_TIME_AFTER_READING } else { unlimited_autonomy };
+        let after_reading = if self.limits_starts {
+            limits::START_TIME_AFTER_READING
+        } else if self.sends_no_attestations {
+            unlimited_autonomy
+        } else {
+            // Not heard by this process yet: it may run an earlier version.
+            unlimited_autonomy.min(limits::UNKNOWN_MEMBER_AUTONOMY)
+        };
         self.start_promise_given_until.max(now + plus_clock_drift(after_reading))
     }
 
--- a/src/lease/cancellation_log_tests.rs
+++ b/src/lease/cancellation_log_tests.rs
@@ -517,3 +517,23 @@
     exchange(read_at, &mut node_1, &mut node_0, StoreAccess::Available);
     assert_eq!(node_0.may_start_tasks_until(), read_at + limits::minus_clock_drift(START_PROMISE));
 }
+
+#[test]
+fn a_restarted_node_waits_for_a_leader_it_has_not_heard_but_not_beyond_its_users_patience() {
+    for (longest_autonomy, expected) in
+        [(BOUNDS.longest_autonomy, BOUNDS.longest_autonomy + limits::LOCK_LEASE), (300 * SECOND, 30 * SECOND)]
+    {
+        let bounds = CancellationBounds { longest_autonomy, ..BOUNDS };
+        let mut node_1 = CancellationLog::new(2, 1, 72, NOW, bounds);
+        let cancelled_at = NOW + 5 * SECOND;
+        let leads = reading(cancelled_at, EpochLeader::Member(0));
+        let starts_end_at = cancelled_at + limits::plus_clock_drift(expected);
+        let unknown = CancellationCommit::Unknown;
+        for time in [cancelled_at, starts_end_at - Duration::from_micros(1)] {
+            assert!(!node_1.confirm(time, JobId(1), unknown, leads).is_permitted);
+        }
+        node_1.rule_out_starts(starts_end_at, leads);
+        assert!(!node_1.confirm(starts_end_at, JobId(1), unknown, leads).is_permitted);
+        assert!(node_1.confirm(starts_end_at + relay_time(), JobId(1), unknown, leads).is_permitted);
+    }
+}
--- a/src/limits/election.rs
+++ b/src/limits/election.rs
@@ -54,6 +54,10 @@
 
 /// How long users repeat a request that was not decided (PROTOCOL, submissions and cancellations).
 pub const USER_RETRY_TIME: Duration = Duration::from_secs(60);
+/// How long a cancellation waits at most for a leader of which the confirming process does not know whether it
+/// limits its starts. Half of the time for which users repeat a request, so that one of them still gets the
+/// confirmation after a restart of the confirming node.
+pub const UNKNOWN_MEMBER_AUTONOMY: Duration = Duration::from_secs(USER_RETRY_TIME.as_secs() / 2);
 /// How long a leader may start tasks after it sent the request that last read the live jobs. It reads them once
 /// a second; the rest allows for slow answers of the key-value store.
 pub const START_TIME_AFTER_READING: Duration = LOCK_LEASE;
