Count an earlier version's leader as informed only once the store has answered it

Cause: that version gives no acknowledgements.

Change: its heartbeat must show that the store answered it after the commit; else the cancellation waits until the epoch names another node or that leader can no longer lead. A follower of that version in contact is waited for no longer than before.

--- a/src/leadership/messages.rs
+++ b/src/leadership/messages.rs
@@ -114,7 +114,7 @@
                     incarnation,
                     sent,
                     gives_attestations: status.gives_attestations,
-                    reaches_store: status.store_answer_age < limits::STORE_LOST_TIMEOUT,
+                    store_answer_age: status.store_answer_age,
                 };
                 self.cancellations.observe_heartbeat(now, from, heartbeat);
                 self.attest(now, from, &mut actions);
--- a/src/lease/cancellation_log.rs
+++ b/src/lease/cancellation_log.rs
@@ -341,8 +341,11 @@
     fn is_confirmation_permitted(&self, now: Timestamp, job_id: JobId) -> bool {
         let Some(own) = self.own_confirmations.of_job(job_id) else { return false };
         let is_suspended = self.other_members().any(|member| !member.permits_confirmation(now, own.number));
-        let is_known_to_all = || self.other_members().all(|member| member.knows_confirmation(now, own));
-        !is_suspended && (is_known_to_all() || own.is_safe_from_starts(now))
+        let is_known_to_all = || self.other_members().all(|member| member.knows_confirmation(own));
+        // An earlier version passes on a start also of a job that it knows as cancelled: waiting proves nothing.
+        let passes_on_none = |member: &Member| member.knows_confirmation(own) || member.follows_store(now);
+        let is_relayed_by_none = || own.has_ruled_out_starts() && self.other_members().all(passes_on_none);
+        !is_suspended && (is_known_to_all() || is_relayed_by_none() || own.is_safe_from_starts(now))
     }
 
     /// Records for each confirmation that a member has not acknowledged whether any leader may still start tasks
@@ -351,8 +354,7 @@
         let acknowledged_by_all = self.other_members().map(Member::acknowledged).min().unwrap_or(u64::MAX);
         let (members, local_node) = (&self.members, self.local_node);
         for own in self.own_confirmations.after_mut(acknowledged_by_all) {
-            let known_by: Vec<bool> =
-                members.iter().map(|member| member.knows_confirmation(now, own)).collect();
+            let known_by: Vec<bool> = members.iter().map(|member| member.knows_confirmation(own)).collect();
             own.rule_out_starts(now, epoch, |node| node == local_node || known_by[node]);
         }
     }
--- a/src/lease/cancellation_log_member.rs
+++ b/src/lease/cancellation_log_member.rs
@@ -19,8 +19,8 @@
     pub sent: Timestamp,
     /// Whether the sender gives attestations and accepts them.
     pub gives_attestations: bool,
-    /// Whether the key-value store answers the sender.
-    pub reaches_store: bool,
+    /// Time since the key-value store last answered the sender.
+    pub store_answer_age: Duration,
 }
 
 /// State of the cancellation log for one other member.
@@ -36,8 +36,8 @@
     heartbeat_stamp: Timestamp,
     /// When its last heartbeat arrived.
     heartbeat_at: Timestamp,
-    /// Whether the key-value store answered it when it sent its last heartbeat.
-    reaches_store: bool,
+    /// When the key-value store last answered it, by the arrival of its heartbeats.
+    store_answered_at: Timestamp,
     /// Number of this node's last confirmation that the member's current incarnation has acknowledged.
     acknowledged_by_member: u64,
     /// Until when this node has promised to confirm no cancellation that the member has not acknowledged.
@@ -91,18 +91,22 @@
     }
 
     /// Whether the member starts no task of the job because it knows this confirmation, or the user's request that
-    /// led to it. A member that sends no attestations follows
-    /// the changes in the key-value store, so it is taken to know the cancellation while it is in contact and
-    /// reaches the store; nothing proves that it does.
-    pub(super) fn knows_confirmation(&self, now: Timestamp, own: &OwnConfirmation) -> bool {
-        let follows_store = self.sends_no_attestations
-            && self.reaches_store
-            && now < self.heartbeat_at + limits::PEER_TIMEOUT;
+    /// led to it. A member that sends no attestations follows the changes in the key-value store, so it is taken to
+    /// know the cancellation once the store has answered it after the commit; nothing proves that it does.
+    pub(super) fn knows_confirmation(&self, own: &OwnConfirmation) -> bool {
+        let follows_store = self.sends_no_attestations && self.store_answered_at >= own.recorded_at;
         let acknowledged = self.acknowledged_by_member;
         let knows_request = |number: u64| number > self.requests_left_out_until && acknowledged >= number;
         follows_store || acknowledged >= own.number || own.request_number.is_some_and(knows_request)
     }
 
+    /// Whether the member sends no attestations, is in contact, and reaches the key-value store.
+    pub(super) fn follows_store(&self, now: Timestamp) -> bool {
+        self.sends_no_attestations
+            && now < self.heartbeat_at + limits::PEER_TIMEOUT
+            && now < self.store_answered_at + limits::STORE_LOST_TIMEOUT
+    }
+
     /// Whether requests to cancel may be included in an attestation to the member that covers the numbers up to
     /// `last_number`.
     pub(super) fn accepts_requests(&mut self, last_number: u64) -> bool {
@@ -135,7 +139,7 @@
 
     /// A heartbeat of the member arrived at `now`.
     pub(super) fn observe_heartbeat(&mut self, now: Timestamp, heartbeat: MemberHeartbeat) {
-        let MemberHeartbeat { incarnation, sent, gives_attestations, reaches_store } = heartbeat;
+        let MemberHeartbeat { incarnation, sent, gives_attestations, store_answer_age } = heartbeat;
         self.sends_no_attestations = !gives_attestations;
         // Incarnation zero is treated as unknown.
         let incarnation = Some(incarnation).filter(|incarnation| gives_attestations && *incarnation != 0);
@@ -149,7 +153,9 @@
         }
         self.heartbeat_stamp = sent;
         self.heartbeat_at = now;
-        self.reaches_store = reaches_store;
+        if store_answer_age < limits::STORE_LOST_TIMEOUT {
+            self.store_answered_at = self.store_answered_at.max(now - store_answer_age);
+        }
     }
 
     /// This node gives the member a promise about starts with an attestation. It counts from the arrival of the
--- a/src/lease/cancellation_log_tests.rs
+++ b/src/lease/cancellation_log_tests.rs
@@ -40,7 +40,8 @@
     gives_attestations: bool,
     stamp: Timestamp,
 ) {
-    let heartbeat = MemberHeartbeat { incarnation, sent: stamp, gives_attestations, reaches_store: true };
+    let heartbeat =
+        MemberHeartbeat { incarnation, sent: stamp, gives_attestations, store_answer_age: Duration::ZERO };
     log.observe_heartbeat(stamp, from, heartbeat);
 }
 
@@ -390,35 +391,40 @@
 }
 
 #[test]
-fn a_cancellation_waits_for_a_leader_of_an_earlier_version_until_it_can_no_longer_lead() {
+fn a_cancellation_waits_for_a_leader_of_an_earlier_version_until_the_store_has_answered_it_or_it_can_not_lead(
+) {
+    let unknown = CancellationCommit::Unknown;
     let (_, mut node_1) = two_nodes();
     observe_heartbeat(&mut node_1, 0, 70, false, NOW + 20 * SECOND);
-    // In contact, and reaching the key-value store, it follows the changes there.
-    assert!(
-        node_1
-            .confirm(NOW + 21 * SECOND, JobId(1), CancellationCommit::Unknown, EpochReading::NONE)
-            .is_permitted
-    );
-    let cancelled_at = NOW + 20 * SECOND + limits::PEER_TIMEOUT;
+    // Its last heartbeat is from before the commit: it may have been cut off since.
+    let cancelled_at = NOW + 21 * SECOND;
     let leads = reading(cancelled_at, EpochLeader::Member(0));
-    assert!(!node_1.confirm(cancelled_at, JobId(2), CancellationCommit::Unknown, leads).is_permitted);
+    assert!(!node_1.confirm(cancelled_at, JobId(1), unknown, leads).is_permitted);
     let autonomy = limits::plus_clock_drift(BOUNDS.longest_autonomy + limits::LOCK_LEASE);
     assert!(
         !node_1
-            .confirm(
-                cancelled_at + autonomy - Duration::from_micros(1),
-                JobId(2),
-                CancellationCommit::Unknown,
-                leads
-            )
+            .confirm(cancelled_at + autonomy - Duration::from_micros(1), JobId(1), unknown, leads)
             .is_permitted
     );
     node_1.rule_out_starts(cancelled_at + autonomy, leads);
-    assert!(
-        node_1
-            .confirm(cancelled_at + autonomy + relay_time(), JobId(2), CancellationCommit::Unknown, leads)
-            .is_permitted
-    );
+    assert!(node_1.confirm(cancelled_at + autonomy + relay_time(), JobId(1), unknown, leads).is_permitted);
+    // The key-value store has answered it since, so that it follows the change.
+    let later = cancelled_at + 60 * SECOND;
+    assert!(!node_1.confirm(later, JobId(2), unknown, EpochReading::NONE).is_permitted);
+    observe_heartbeat(&mut node_1, 0, 70, false, later);
+    assert!(node_1.confirm(later, JobId(2), unknown, EpochReading::NONE).is_permitted);
+}
+
+#[test]
+fn a_cancellation_does_not_wait_for_a_follower_of_an_earlier_version_that_is_in_contact() {
+    let unknown = CancellationCommit::Unknown;
+    let (_, mut node_1) = two_nodes();
+    observe_heartbeat(&mut node_1, 0, 70, false, NOW + 20 * SECOND);
+    let cancelled_at = NOW + 20 * SECOND + limits::PEER_TIMEOUT - Duration::from_micros(1);
+    let leads = |at| reading(at, EpochLeader::LocalNode);
+    assert!(node_1.confirm(cancelled_at, JobId(1), unknown, leads(cancelled_at)).is_permitted);
+    let out_of_contact = cancelled_at + Duration::from_micros(1);
+    assert!(!node_1.confirm(out_of_contact, JobId(2), unknown, leads(out_of_contact)).is_permitted);
 }
 
 /// Node 1 tells node 0 at `now`, with an attestation, what it recorded, and node 0 acknowledges it.
--- a/src/lease/own_confirmations.rs
+++ b/src/lease/own_confirmations.rs
@@ -102,6 +102,11 @@
         self.starts_ruled_out_at = ruled_out.then_some(now);
     }
 
+    /// Whether no leader may start tasks of the job any more.
+    pub(super) fn has_ruled_out_starts(&self) -> bool {
+        self.starts_ruled_out_at.is_some()
+    }
+
     /// Whether no leader may start tasks of the job any more, and no leaseholder can still pass on a start that a
     /// leader sent before.
     pub(super) fn is_safe_from_starts(&self, now: Timestamp) -> bool {
