Judge unacknowledged cancellations once a batch, not once for each waiting user

Each confirmation that waited for its user ran the whole of `confirm` in every batch of events: it was recorded again, and each cancellation that a member had not acknowledged was judged, with a vector each. The event loop judges them once a batch now, if anybody waits, and then only looks up each result. The private `confirm` of leadership and its second entry, which had to name a commit that it did not know, are gone; the tick uses the same function.

Confirmations are in the order of their numbers, so those above a number are found by bisection for both iterators; `after_mut` ran backwards, against its documentation. The gain in time was not measured.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -256,8 +256,12 @@
 
     /// Confirms cancellations to users as soon as that is safe; forgets those whose user has given up.
     fn answer_pending_confirmations(&mut self, now: Timestamp) {
+        if self.pending_confirmations.is_empty() {
+            return;
+        }
+        self.leadership.rule_out_starts(now);
         for pending in std::mem::take(&mut self.pending_confirmations) {
-            if self.leadership.is_confirmation_permitted(now, pending.job_id) {
+            if self.leadership.cancellations.is_confirmation_permitted(now, pending.job_id) {
                 // The user's request may have timed out.
                 let _ = pending.reply.send(());
             } else if !pending.reply.is_closed() {
--- a/src/leadership/messages.rs
+++ b/src/leadership/messages.rs
@@ -4,9 +4,7 @@
 use super::role::Role;
 use super::{Action, AttestationOutcome, ConfirmationOutcome, FollowedLeader, Leadership, Message, Status};
 use crate::fencing_token::FencingToken;
-use crate::lease::cancellation_log::{
-    Attestation, CancellationCommit, ConfirmOutcome, MemberHeartbeat, StoreAccess,
-};
+use crate::lease::cancellation_log::{Attestation, CancellationCommit, MemberHeartbeat, StoreAccess};
 use crate::limits;
 use crate::scheduler::model::JobId;
 use crate::time::Timestamp;
@@ -54,7 +52,8 @@
         job_id: JobId,
         commit: CancellationCommit,
     ) -> ConfirmationOutcome {
-        let outcome = self.confirm(now, job_id, commit);
+        let epoch = self.epoch_reading(now);
+        let outcome = self.cancellations.confirm(now, job_id, commit, epoch);
         let mut actions = Vec::new();
         if outcome.is_new || !outcome.is_permitted {
             self.peers.others().for_each(|node| self.attest(now, node, &mut actions));
@@ -62,14 +61,11 @@
         ConfirmationOutcome { is_new: outcome.is_new, is_permitted: outcome.is_permitted, actions }
     }
 
-    /// Whether a cancellation that was recorded may be confirmed to its user by now.
-    pub fn is_confirmation_permitted(&mut self, now: Timestamp, job_id: JobId) -> bool {
-        self.confirm(now, job_id, CancellationCommit::Unknown).is_permitted
-    }
-
-    fn confirm(&mut self, now: Timestamp, job_id: JobId, commit: CancellationCommit) -> ConfirmOutcome {
+    /// Records for each cancellation of this node that a peer has not acknowledged whether any leader may still
+    /// start tasks of its job ([`crate::lease::cancellation_log::CancellationLog::rule_out_starts`]).
+    pub fn rule_out_starts(&mut self, now: Timestamp) {
         let epoch = self.epoch_reading(now);
-        self.cancellations.confirm(now, job_id, commit, epoch)
+        self.cancellations.rule_out_starts(now, epoch);
     }
 
     fn attest(&mut self, now: Timestamp, to: usize, actions: &mut Vec<Action>) {
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -183,8 +183,7 @@
             self.next_heartbeat_at = now + limits::PEER_HEARTBEAT_INTERVAL;
             let token = self.role.token_for_grants().unwrap_or(FencingToken::NONE);
             self.broadcast(Message::Heartbeat { token, sent: now }, &mut actions);
-            let epoch = self.epoch_reading(now);
-            self.cancellations.rule_out_starts(now, epoch);
+            self.rule_out_starts(now);
         }
         actions
     }
--- a/src/lease/cancellation_log.rs
+++ b/src/lease/cancellation_log.rs
@@ -338,7 +338,9 @@
         ConfirmOutcome { is_new, is_permitted: self.is_confirmation_permitted(now, job_id) }
     }
 
-    fn is_confirmation_permitted(&self, now: Timestamp, job_id: JobId) -> bool {
+    /// Whether a cancellation that was recorded ([`Self::confirm`]) may be confirmed to its user, as of the last
+    /// [`Self::rule_out_starts`].
+    pub fn is_confirmation_permitted(&self, now: Timestamp, job_id: JobId) -> bool {
         let Some(own) = self.own_confirmations.of_job(job_id) else { return false };
         let is_suspended = self.other_members().any(|member| !member.permits_confirmation(now, own.number));
         let is_known_to_all = || self.other_members().all(|member| member.knows_confirmation(own));
@@ -354,8 +356,9 @@
         let acknowledged_by_all = self.other_members().map(Member::acknowledged).min().unwrap_or(u64::MAX);
         let (members, local_node) = (&self.members, self.local_node);
         for own in self.own_confirmations.after_mut(acknowledged_by_all) {
-            let known_by: Vec<bool> = members.iter().map(|member| member.knows_confirmation(own)).collect();
-            own.rule_out_starts(now, epoch, |node| node == local_node || known_by[node]);
+            own.rule_out_starts(now, epoch, |own, node| {
+                node == local_node || members[node].knows_confirmation(own)
+            });
         }
     }
 
--- a/src/lease/cancellation_log_member.rs
+++ b/src/lease/cancellation_log_member.rs
@@ -94,10 +94,10 @@
     /// led to it. A member that sends no attestations follows the changes in the key-value store, so it is taken to
     /// know the cancellation once the store has answered it after the commit; nothing proves that it does.
     pub(super) fn knows_confirmation(&self, own: &OwnConfirmation) -> bool {
-        let follows_store = self.sends_no_attestations && self.store_answered_at >= own.recorded_at;
+        let has_read_store = self.sends_no_attestations && self.store_answered_at >= own.recorded_at;
         let acknowledged = self.acknowledged_by_member;
         let knows_request = |number: u64| number > self.requests_left_out_until && acknowledged >= number;
-        follows_store || acknowledged >= own.number || own.request_number.is_some_and(knows_request)
+        has_read_store || acknowledged >= own.number || own.request_number.is_some_and(knows_request)
     }
 
     /// Whether the member sends no attestations, is in contact, and reaches the key-value store.
--- a/src/lease/own_confirmations.rs
+++ b/src/lease/own_confirmations.rs
@@ -77,20 +77,20 @@
 }
 
 impl OwnConfirmation {
-    /// Records at `now` whether any leader may still start tasks of the job. `knows_cancellation` tells it of
-    /// the member with a number.
+    /// Records at `now` whether any leader may still start tasks of the job. `knows_cancellation` tells whether the
+    /// node with this number knows this cancellation.
     pub(super) fn rule_out_starts(
         &mut self,
         now: Timestamp,
         epoch: EpochReading,
-        knows_cancellation: impl Fn(usize) -> bool,
+        knows_cancellation: impl Fn(&Self, usize) -> bool,
     ) {
         if self.starts_ruled_out_at.is_some() {
             return;
         }
         let cannot_start = |node: usize| {
             let possible_until = self.starts_possible_until.get(node);
-            knows_cancellation(node) || possible_until.is_some_and(|until| now >= *until)
+            knows_cancellation(self, node) || possible_until.is_some_and(|until| now >= *until)
         };
         // A reading from before the commit does not show who has read the live jobs since.
         let leader = if epoch.requested_at >= self.recorded_at { epoch.leader } else { EpochLeader::Unknown };
@@ -144,12 +144,18 @@
 
     /// Confirmations with a number above `number`, the oldest first.
     pub(super) fn after(&self, number: u64) -> impl Iterator<Item = &OwnConfirmation> {
-        self.confirmations.iter().filter(move |own| own.number > number)
+        self.confirmations.range(self.first_after(number)..)
     }
 
     /// As [`OwnConfirmations::after`].
     pub(super) fn after_mut(&mut self, number: u64) -> impl Iterator<Item = &mut OwnConfirmation> {
-        self.confirmations.iter_mut().rev().take_while(move |own| own.number > number)
+        let first = self.first_after(number);
+        self.confirmations.range_mut(first..)
+    }
+
+    /// Position of the first confirmation with a number above `number`. They are in the order of their numbers.
+    fn first_after(&self, number: u64) -> usize {
+        self.confirmations.partition_point(|own| own.number <= number)
     }
 
     /// Requests with a number above `number` that are still valid, the oldest first.
