--- a/src/leadership/tests/start_scenarios.rs
+++ b/src/leadership/tests/start_scenarios.rs
@@ -8,12 +8,14 @@
 use std::ops::Range;
 use std::time::Duration;
 
-/// How long users repeat a cancellation that is not confirmed.
-const USER_RETRY_TIME: Duration = limits::USER_RETRY_TIME;
+/// How long a cancellation may wait while the confirming node keeps running: for its promise, for starts that a
+/// leaseholder may pass on, and for the user's next repeats.
+const LONGEST_WAIT: Duration =
+    START_PROMISE.saturating_add(limits::RELAY_TIMEOUT).saturating_add(Duration::from_secs(3));
 
-/// The nodes other than these two.
-fn others(first: usize, second: usize) -> Vec<usize> {
-    (0..NODE_COUNT).filter(|node| *node != first && *node != second).collect()
+/// All nodes but this one.
+fn all_but(node: usize) -> Vec<usize> {
+    (0..NODE_COUNT).filter(|other| *other != node).collect()
 }
 
 /// A cluster with a leader that has run long enough for each node to confirm cancellations at once.
@@ -44,8 +46,7 @@
         let (mut cluster, leader) = settled_cluster(seed);
         let outside = (leader + 1) % NODE_COUNT;
         let (cut_at, starts_before) = (cluster.now, cluster.start_steps);
-        let inside = (0..NODE_COUNT).filter(|node| *node != outside).collect();
-        cluster.cut_off(inside, true, cut_at + 60 * SECOND);
+        cluster.cut_off(all_but(outside), true, cut_at + 60 * SECOND);
         // Inside, starts go on for as long as the node outside has promised, counted from the last heartbeat that it
         // answered before the cut.
         cluster.run(START_PROMISE - 3 * SECOND);
@@ -54,7 +55,7 @@
         assert!(started > 900, "seed {seed}: the leader might start tasks in {started} steps of 10 ms");
         cluster.run(40 * SECOND);
         assert!(cluster.confirmed.values().any(|at| *at > cut_at + SECOND), "seed {seed}: none confirmed");
-        assert_confirmed_within(&cluster, cut_at, START_PROMISE + limits::RELAY_TIMEOUT + 3 * SECOND);
+        assert_confirmed_within(&cluster, cut_at, LONGEST_WAIT);
     }
 }
 
@@ -67,7 +68,7 @@
         cluster.cut_off(vec![leader], seed % 2 == 0, cut_at + 30 * SECOND);
         cluster.run(60 * SECOND);
         assert!(cluster.confirmed.values().any(|at| *at > cut_at + SECOND), "seed {seed}: none confirmed");
-        assert_confirmed_within(&cluster, cut_at, START_PROMISE + limits::RELAY_TIMEOUT + 3 * SECOND);
+        assert_confirmed_within(&cluster, cut_at, LONGEST_WAIT);
     }
 }
 
@@ -78,14 +79,13 @@
         let (mut cluster, leader) = settled_cluster(seed);
         let first_cut_at = cluster.now;
         let outside = (leader + 1 + seed as usize % 2) % NODE_COUNT;
-        let inside: Vec<usize> = (0..NODE_COUNT).filter(|node| *node != outside).collect();
         for cut in 0..6 {
             let length = Duration::from_millis(700 * (1 + (seed + cut) % 9));
-            cluster.cut_off(inside.clone(), true, cluster.now + length);
+            cluster.cut_off(all_but(outside), true, cluster.now + length);
             cluster.run(length + Duration::from_millis(30 * (seed % 12)));
         }
         cluster.run(10 * SECOND);
-        assert_confirmed_within(&cluster, first_cut_at, START_PROMISE + limits::RELAY_TIMEOUT + 3 * SECOND);
+        assert_confirmed_within(&cluster, first_cut_at, LONGEST_WAIT);
     }
 }
 
@@ -97,17 +97,16 @@
         let (mut cluster, leader) = settled_cluster(seed);
         let cut_at = cluster.now;
         let confirming = (leader + 1) % NODE_COUNT;
-        let inside = (0..NODE_COUNT).filter(|node| *node != confirming).collect();
-        cluster.cut_off(inside, true, cut_at + 45 * SECOND);
+        cluster.cut_off(all_but(confirming), true, cut_at + 45 * SECOND);
         cluster.run(Duration::from_millis(200 * seed));
-        let follower = others(leader, confirming)[0];
+        let follower = (leader + 2) % NODE_COUNT;
         let restarted = [vec![confirming], vec![leader], vec![follower], vec![confirming, leader]];
         for node in &restarted[seed as usize % restarted.len()] {
             cluster.crash(*node, Duration::from_millis(50 + 7 * seed));
         }
         cluster.run(60 * SECOND);
         // Users repeat a cancellation at the restarted node from then on.
-        assert_confirmed_within(&cluster, cut_at + 15 * SECOND, USER_RETRY_TIME);
+        assert_confirmed_within(&cluster, cut_at + 15 * SECOND, limits::USER_RETRY_TIME);
     }
 }
 
--- a/src/lease/cancellation_log_tests.rs
+++ b/src/lease/cancellation_log_tests.rs
@@ -246,6 +246,17 @@
     EpochReading { requested_at, leader }
 }
 
+/// Whether `log` may confirm at `now` that the job is cancelled, whoever cancelled it.
+fn permits(log: &mut CancellationLog, now: Timestamp, job_id: JobId, epoch: EpochReading) -> bool {
+    log.confirm(now, job_id, CancellationCommit::Unknown, epoch).is_permitted
+}
+
+/// Node 1 tells node 0 at `now`, with an attestation, what it recorded, and node 0 acknowledges it.
+fn tell_and_acknowledge(now: Timestamp, node_1: &mut CancellationLog, node_0: &mut CancellationLog) {
+    exchange(now, node_1, node_0, StoreAccess::Available);
+    exchange(now, node_0, node_1, StoreAccess::Available);
+}
+
 /// The logs of nodes 0 and 1 as of `NOW + 20 s`: node 0 may start tasks under the promise of node 1.
 fn node_0_starts_under_promise() -> (CancellationLog, CancellationLog) {
     let (mut node_0, mut node_1) = two_nodes();
@@ -253,8 +264,7 @@
         log.apply_live_jobs(NOW + 20 * SECOND, NOW + 20 * SECOND, false, &[], &[]);
     }
     observe_heartbeat(&mut node_0, 1, 71, true, NOW + 20 * SECOND);
-    exchange(NOW + 20 * SECOND, &mut node_1, &mut node_0, StoreAccess::Available);
-    exchange(NOW + 20 * SECOND, &mut node_0, &mut node_1, StoreAccess::Available);
+    tell_and_acknowledge(NOW + 20 * SECOND, &mut node_1, &mut node_0);
     (node_0, node_1)
 }
 
@@ -264,96 +274,48 @@
     let cancelled_at = NOW + 21 * SECOND;
     let starts_end_at = node_0.may_start_tasks_until();
     assert_eq!(starts_end_at, NOW + 20 * SECOND + limits::minus_clock_drift(START_PROMISE));
-    assert!(
-        !node_1.confirm(cancelled_at, JobId(1), CancellationCommit::Unknown, EpochReading::NONE).is_permitted
-    );
+    assert!(!permits(&mut node_1, cancelled_at, JobId(1), EpochReading::NONE));
     let promise_ends_at = NOW + 20 * SECOND + limits::plus_clock_drift(START_PROMISE);
     // A reading of the epoch that was requested before the commit proves nothing.
     let before_commit = reading(NOW + 20 * SECOND, EpochLeader::LocalNode);
     node_1.rule_out_starts(cancelled_at, before_commit);
-    assert!(
-        !node_1
-            .confirm(cancelled_at + 2 * relay_time(), JobId(1), CancellationCommit::Unknown, before_commit)
-            .is_permitted
-    );
+    assert!(!permits(&mut node_1, cancelled_at + 2 * relay_time(), JobId(1), before_commit));
     for (time, epoch) in [
         (starts_end_at, reading(starts_end_at, EpochLeader::Member(0))),
         (promise_ends_at, reading(NOW + 20 * SECOND, EpochLeader::LocalNode)),
         (promise_ends_at + relay_time() - Duration::from_micros(1), EpochReading::NONE),
     ] {
-        assert!(
-            !node_1.confirm(time, JobId(1), CancellationCommit::Unknown, epoch).is_permitted,
-            "at {time}"
-        );
+        assert!(!permits(&mut node_1, time, JobId(1), epoch), "at {time}");
     }
-    assert!(
-        node_1
-            .confirm(
-                promise_ends_at + relay_time(),
-                JobId(1),
-                CancellationCommit::Unknown,
-                EpochReading::NONE
-            )
-            .is_permitted
-    );
+    assert!(permits(&mut node_1, promise_ends_at + relay_time(), JobId(1), EpochReading::NONE));
 }
 
 #[test]
 fn a_cancellation_that_the_leader_has_not_acknowledged_is_confirmed_once_another_node_leads() {
     let (_, mut node_1) = node_0_starts_under_promise();
     let cancelled_at = NOW + 21 * SECOND;
-    assert!(
-        !node_1.confirm(cancelled_at, JobId(1), CancellationCommit::Unknown, EpochReading::NONE).is_permitted
-    );
+    assert!(!permits(&mut node_1, cancelled_at, JobId(1), EpochReading::NONE));
     // Node 1 itself was elected.
     let elected_at = cancelled_at + 5 * SECOND;
     node_1.rule_out_starts(elected_at, reading(elected_at, EpochLeader::LocalNode));
-    assert!(
-        !node_1.confirm(elected_at, JobId(1), CancellationCommit::Unknown, EpochReading::NONE).is_permitted,
-        "a start may be relayed"
-    );
-    assert!(
-        node_1
-            .confirm(elected_at + relay_time(), JobId(1), CancellationCommit::Unknown, EpochReading::NONE)
-            .is_permitted
-    );
+    assert!(!permits(&mut node_1, elected_at, JobId(1), EpochReading::NONE), "a start may be relayed");
+    assert!(permits(&mut node_1, elected_at + relay_time(), JobId(1), EpochReading::NONE));
 }
 
 #[test]
 fn a_promise_that_was_given_with_a_cancellation_does_not_hold_it_back() {
     let (_, mut node_1) = node_0_starts_under_promise();
-    assert!(
-        !node_1
-            .confirm(NOW + 21 * SECOND, JobId(1), CancellationCommit::Unknown, EpochReading::NONE)
-            .is_permitted
-    );
+    assert!(!permits(&mut node_1, NOW + 21 * SECOND, JobId(1), EpochReading::NONE));
     // A heartbeat of node 0 gets through; the attestation with the cancellation, or its answer, is lost.
     observe_heartbeat(&mut node_1, 0, 70, true, NOW + 30 * SECOND);
     assert!(node_1.attest_to(NOW + 30 * SECOND, 0, StoreAccess::Available).is_some());
     let promise_ends_at = NOW + 20 * SECOND + limits::plus_clock_drift(START_PROMISE);
     node_1.rule_out_starts(promise_ends_at, EpochReading::NONE);
-    assert!(
-        node_1
-            .confirm(
-                promise_ends_at + relay_time(),
-                JobId(1),
-                CancellationCommit::Unknown,
-                EpochReading::NONE
-            )
-            .is_permitted
-    );
+    assert!(permits(&mut node_1, promise_ends_at + relay_time(), JobId(1), EpochReading::NONE));
     // A later cancellation waits for the later promise.
     let (first, second) = (JobId(1), JobId(2));
-    assert!(
-        node_1
-            .confirm(promise_ends_at + 2 * SECOND, first, CancellationCommit::Unknown, EpochReading::NONE)
-            .is_permitted
-    );
-    assert!(
-        !node_1
-            .confirm(promise_ends_at + 2 * SECOND, second, CancellationCommit::Unknown, EpochReading::NONE)
-            .is_permitted
-    );
+    assert!(permits(&mut node_1, promise_ends_at + 2 * SECOND, first, EpochReading::NONE));
+    assert!(!permits(&mut node_1, promise_ends_at + 2 * SECOND, second, EpochReading::NONE));
 }
 
 #[test]
@@ -371,14 +333,10 @@
     let leads = reading(restarted_at + 2 * SECOND, EpochLeader::Member(0));
     let promise_ends_at = restarted_at + limits::plus_clock_drift(START_PROMISE);
     for time in [restarted_at + 2 * SECOND, promise_ends_at - SECOND] {
-        assert!(!node_1.confirm(time, JobId(1), CancellationCommit::Unknown, leads).is_permitted);
+        assert!(!permits(&mut node_1, time, JobId(1), leads));
     }
     node_1.rule_out_starts(promise_ends_at, leads);
-    assert!(
-        node_1
-            .confirm(promise_ends_at + relay_time(), JobId(1), CancellationCommit::Unknown, leads)
-            .is_permitted
-    );
+    assert!(permits(&mut node_1, promise_ends_at + relay_time(), JobId(1), leads));
 }
 
 /// Version 3f677f9, in production, gives no attestations, makes no such promises and limits no starts.
@@ -393,44 +351,32 @@
 #[test]
 fn a_cancellation_waits_for_a_leader_of_an_earlier_version_until_the_store_has_answered_it_or_it_can_not_lead(
 ) {
-    let unknown = CancellationCommit::Unknown;
     let (_, mut node_1) = two_nodes();
     observe_heartbeat(&mut node_1, 0, 70, false, NOW + 20 * SECOND);
     // Its last heartbeat is from before the commit: it may have been cut off since.
     let cancelled_at = NOW + 21 * SECOND;
     let leads = reading(cancelled_at, EpochLeader::Member(0));
-    assert!(!node_1.confirm(cancelled_at, JobId(1), unknown, leads).is_permitted);
+    assert!(!permits(&mut node_1, cancelled_at, JobId(1), leads));
     let autonomy = limits::plus_clock_drift(BOUNDS.longest_autonomy + limits::LOCK_LEASE);
-    assert!(
-        !node_1
-            .confirm(cancelled_at + autonomy - Duration::from_micros(1), JobId(1), unknown, leads)
-            .is_permitted
-    );
+    assert!(!permits(&mut node_1, cancelled_at + autonomy - Duration::from_micros(1), JobId(1), leads));
     node_1.rule_out_starts(cancelled_at + autonomy, leads);
-    assert!(node_1.confirm(cancelled_at + autonomy + relay_time(), JobId(1), unknown, leads).is_permitted);
+    assert!(permits(&mut node_1, cancelled_at + autonomy + relay_time(), JobId(1), leads));
     // The key-value store has answered it since, so that it follows the change.
     let later = cancelled_at + 60 * SECOND;
-    assert!(!node_1.confirm(later, JobId(2), unknown, EpochReading::NONE).is_permitted);
+    assert!(!permits(&mut node_1, later, JobId(2), EpochReading::NONE));
     observe_heartbeat(&mut node_1, 0, 70, false, later);
-    assert!(node_1.confirm(later, JobId(2), unknown, EpochReading::NONE).is_permitted);
+    assert!(permits(&mut node_1, later, JobId(2), EpochReading::NONE));
 }
 
 #[test]
 fn a_cancellation_does_not_wait_for_a_follower_of_an_earlier_version_that_is_in_contact() {
-    let unknown = CancellationCommit::Unknown;
     let (_, mut node_1) = two_nodes();
     observe_heartbeat(&mut node_1, 0, 70, false, NOW + 20 * SECOND);
     let cancelled_at = NOW + 20 * SECOND + limits::PEER_TIMEOUT - Duration::from_micros(1);
     let leads = |at| reading(at, EpochLeader::LocalNode);
-    assert!(node_1.confirm(cancelled_at, JobId(1), unknown, leads(cancelled_at)).is_permitted);
+    assert!(permits(&mut node_1, cancelled_at, JobId(1), leads(cancelled_at)));
     let out_of_contact = cancelled_at + Duration::from_micros(1);
-    assert!(!node_1.confirm(out_of_contact, JobId(2), unknown, leads(out_of_contact)).is_permitted);
-}
-
-/// Node 1 tells node 0 at `now`, with an attestation, what it recorded, and node 0 acknowledges it.
-fn tell_and_acknowledge(now: Timestamp, node_1: &mut CancellationLog, node_0: &mut CancellationLog) {
-    exchange(now, node_1, node_0, StoreAccess::Available);
-    exchange(now, node_0, node_1, StoreAccess::Available);
+    assert!(!permits(&mut node_1, out_of_contact, JobId(2), leads(out_of_contact)));
 }
 
 #[test]
@@ -534,12 +480,11 @@
         let cancelled_at = NOW + 5 * SECOND;
         let leads = reading(cancelled_at, EpochLeader::Member(0));
         let starts_end_at = cancelled_at + limits::plus_clock_drift(expected);
-        let unknown = CancellationCommit::Unknown;
         for time in [cancelled_at, starts_end_at - Duration::from_micros(1)] {
-            assert!(!node_1.confirm(time, JobId(1), unknown, leads).is_permitted);
+            assert!(!permits(&mut node_1, time, JobId(1), leads));
         }
         node_1.rule_out_starts(starts_end_at, leads);
-        assert!(!node_1.confirm(starts_end_at, JobId(1), unknown, leads).is_permitted);
-        assert!(node_1.confirm(starts_end_at + relay_time(), JobId(1), unknown, leads).is_permitted);
+        assert!(!permits(&mut node_1, starts_end_at, JobId(1), leads));
+        assert!(permits(&mut node_1, starts_end_at + relay_time(), JobId(1), leads));
     }
 }
